Serve sessions on the users' platform: statement traffic, shares of limits, adapter

Cause: the product could not run on the users' machines: traffic and control knew HTTP and our own stand-ins only. Change: src/Statements (sessions, pools, freshness, choice of endpoints), src/Fleet (control of one VM), limits by shares of a sliding window held in one ledger row, and platform/ (wire, settings, store, registry and configuration). Primaries are not replaced yet.

--- /dev/null
+++ b/src/Fleet/EntryDaemon.cpp
@@ -0,0 +1,283 @@
+#include "Fleet/EntryDaemon.h"
+
+#include "Fleet/FleetControl.h"
+#include "Http/HttpServer.h"
+#include "Runtime/AsioTimers.h"
+#include "Runtime/StructuredLog.h"
+#include "Statements/StatementService.h"
+
+#include "Core/Rendezvous.h"
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/signal_set.hpp>
+
+#include <csignal>
+#include <optional>
+#include <thread>
+#include <utility>
+
+namespace Lavendervane {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+
+// Interval at which a stopping VM looks whether all sessions have ended.
+static constexpr auto stopInterval = std::chrono::milliseconds(50);
+
+namespace {
+
+/// Answers the balancer's question whether this VM takes callers.
+class ReadinessHandler : public HttpHandler {
+public:
+    ReadinessHandler(std::string path, std::function<bool()> ready)
+        : path(std::move(path))
+        , ready(std::move(ready))
+    {
+    }
+
+    void handle(HttpRequest request, HttpRespond respond) override
+    {
+        HttpResponse response;
+        response.version(11);
+        response.result(request.target() != this->path ? http::status::not_found
+                : this->ready()                        ? http::status::ok
+                                                       : http::status::service_unavailable);
+        response.prepare_payload();
+        respond(std::move(response));
+    }
+
+    HttpResponse malformed(unsigned status, const std::string& reason) override
+    {
+        return makeJsonResponse(status, "{\"error\":\"" + reason + "\"}");
+    }
+
+private:
+    std::string path;
+    std::function<bool()> ready;
+};
+
+class RequestLog : public TrafficLog {
+public:
+    explicit RequestLog(StructuredLog& log)
+        : log(log)
+    {
+    }
+
+    void statementFailed(const FailedStatement& failed) override
+    {
+        this->log.write("statement_failed",
+            { { "request", failed.id }, { "organisation", failed.organisation.str() }, { "database", failed.database },
+                { "code", std::string(toString(failed.code)) }, { "reason", failed.reason },
+                { "endpoint", failed.endpoint.str() },
+                { "took_us", std::to_string(std::chrono::duration_cast<std::chrono::microseconds>(failed.took).count()) },
+                { "attempts", std::to_string(failed.attempts) },
+                { "configuration", std::to_string(failed.configurationVersion) } });
+    }
+
+    void statementDone(bool, Duration) override { }
+
+    void endpointChanged(const EndpointId& endpoint, std::string_view change) override
+    {
+        this->log.write("endpoint_" + std::string(change), { { "endpoint", endpoint.str() } });
+    }
+
+private:
+    StructuredLog& log;
+};
+
+} // namespace
+
+class EntryDaemon::Implementation : public TrafficPort, public TrafficDemands {
+public:
+    Implementation(EntrySettings settings, EntryParts& parts)
+        : settings(std::move(settings))
+        , log(this->settings.vm.str())
+        , requestLog(this->log)
+        , controlTimers(this->controlContext)
+        , trafficTimers(this->trafficContext)
+        , table(parts.makeTable(this->controlContext))
+        , feed(parts.makeDirectoryFeed(this->controlContext))
+        , connector(parts.makeConnector(this->trafficContext))
+        , service(serviceSettings(this->settings), this->trafficTimers, *this->connector, *this, this->requestLog)
+        , control(controlSettings(this->settings), this->controlTimers, *this->table, *this, this->log)
+        , listener(parts.makeCallerListener(this->trafficContext, this->service))
+        , signals(this->controlContext, SIGTERM, SIGINT, SIGHUP)
+    {
+        HttpServerSettings readiness;
+        readiness.address = this->settings.readinessAddress;
+        this->readinessServer.emplace(this->controlContext, readiness, [this] {
+            return std::make_shared<ReadinessHandler>(
+                this->settings.readinessPath, [this] { return !this->stopping && this->control.ready(); });
+        });
+    }
+
+    int run()
+    {
+        this->log.write("started",
+            { { "version", LAVENDERVANE_VERSION }, { "run", this->settings.run },
+                { "data_centre", this->settings.dataCentre.str() } });
+        this->waitForSignal();
+        this->control.start();
+        this->feed->start(this->control);
+        std::thread traffic([this] {
+            const auto work = asio::make_work_guard(this->trafficContext);
+            this->trafficContext.run();
+        });
+        this->controlContext.run();
+        this->trafficContext.stop();
+        traffic.join();
+        this->log.write("stopped", {});
+        return 0;
+    }
+
+    // TrafficPort, called on the control thread
+
+    void setDirectory(std::shared_ptr<const Directory> directory) override
+    {
+        asio::post(this->trafficContext,
+            [this, directory = std::move(directory)] { this->service.setDirectory(directory); });
+    }
+
+    void applyShares(const ShareLedger::Shares& shares, Instant expiry) override
+    {
+        asio::post(
+            this->trafficContext, [this, shares, expiry] { this->service.limits().setShares(shares, expiry, this->trafficTimers.now()); });
+    }
+
+    void askWantedShares(std::function<void(ShareLedger::Shares)> callback) override
+    {
+        asio::post(this->trafficContext, [this, callback = std::move(callback)] {
+            this->wantedPosted = false;
+            auto shares = this->service.limits().wantedShares(this->trafficTimers.now());
+            asio::post(this->controlContext,
+                [callback, shares = std::move(shares)]() mutable { callback(std::move(shares)); });
+        });
+    }
+
+    // TrafficDemands, called on the traffic thread
+
+    void sharesWanted() override
+    {
+        if (std::exchange(this->wantedPosted, true))
+            return;
+        asio::post(this->controlContext, [this] { this->control.sharesWanted(); });
+    }
+
+    void endpointReachable(const GroupId&, const EndpointId&, bool) override { }
+
+private:
+    static StatementServiceSettings serviceSettings(const EntrySettings& settings)
+    {
+        StatementServiceSettings service;
+        service.dataCentre = settings.dataCentre;
+        service.limits.window = settings.limitWindow;
+        service.limitTolerance = settings.limitTolerance;
+        service.limitSlack = settings.limitSlack;
+        return service;
+    }
+
+    static FleetControlSettings controlSettings(const EntrySettings& settings)
+    {
+        FleetControlSettings control;
+        control.vm = settings.vm;
+        control.dataCentre = settings.dataCentre;
+        control.run = settings.run;
+        control.shares.ledger.windowMs = static_cast<uint64_t>(settings.limitWindow.count());
+        control.seed = stableHash(settings.vm.str() + settings.run);
+        return control;
+    }
+
+    void waitForSignal()
+    {
+        this->signals.async_wait([this](const boost::system::error_code& error, int signal) {
+            if (error)
+                return;
+            if (signal == SIGHUP)
+                this->log.write("reload_requested", {});
+            else
+                this->beginStop();
+            this->waitForSignal();
+        });
+    }
+
+    void beginStop()
+    {
+        if (std::exchange(this->stopping, true))
+            return;
+        this->log.write("stopping", {});
+        const Instant now = this->controlTimers.now();
+        const Duration limit = this->settings.stopLimit;
+        this->controlTimers.schedule(now + this->settings.balancerNotice, [this] {
+            this->closeSessions();
+        });
+        this->controlTimers.schedule(now + limit / 2, [this] {
+            asio::post(this->trafficContext, [this] { this->service.abortTransactions(); });
+        });
+        this->controlTimers.schedule(now + limit - this->settings.closingTime, [this] { this->endTraffic(); });
+    }
+
+    void closeSessions()
+    {
+        asio::post(this->trafficContext, [this] {
+            this->listener->stopAccepting();
+            this->service.closeIdleSessions();
+            this->watchSessions();
+        });
+    }
+
+    // On the traffic thread: ends early once no session is left.
+    void watchSessions()
+    {
+        if (this->service.sessionCount()) {
+            this->trafficTimers.schedule(this->trafficTimers.now() + stopInterval, [this] { this->watchSessions(); });
+            return;
+        }
+        asio::post(this->controlContext, [this] { this->endTraffic(); });
+    }
+
+    void endTraffic()
+    {
+        if (std::exchange(this->ending, true))
+            return;
+        asio::post(this->trafficContext, [this] {
+            const size_t sessions = this->service.sessionCount();
+            if (sessions)
+                this->log.write("sessions_cut", { { "count", std::to_string(sessions) } });
+            this->service.shutDown();
+            asio::post(this->controlContext, [this] {
+                this->control.stop([this] { this->controlContext.stop(); });
+            });
+        });
+    }
+
+    EntrySettings settings;
+    asio::io_context controlContext { 1 };
+    asio::io_context trafficContext { 1 };
+    StructuredLog log;
+    RequestLog requestLog;
+    AsioTimers controlTimers;
+    AsioTimers trafficTimers;
+    std::unique_ptr<TableStore> table;
+    std::unique_ptr<DirectoryFeed> feed;
+    std::unique_ptr<EndpointConnector> connector;
+    StatementService service;
+    FleetControl control;
+    std::unique_ptr<CallerListener> listener;
+    asio::signal_set signals;
+    std::optional<HttpServer> readinessServer;
+    bool stopping = false;
+    bool ending = false;
+    bool wantedPosted = false; ///< traffic thread
+};
+
+EntryDaemon::EntryDaemon(EntrySettings settings, EntryParts& parts)
+    : implementation(std::make_unique<Implementation>(std::move(settings), parts))
+{
+}
+
+EntryDaemon::~EntryDaemon() = default;
+
+int EntryDaemon::run() { return this->implementation->run(); }
+
+} // namespace Lavendervane
--- /dev/null
+++ b/src/Fleet/EntryDaemon.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include "Core/Identifiers.h"
+#include "Fleet/DirectoryFeed.h"
+#include "Fleet/TableStore.h"
+#include "Statements/CallerLink.h"
+#include "Statements/EndpointLink.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <chrono>
+#include <memory>
+#include <string>
+
+namespace Lavendervane {
+
+/// Accepts callers until told to stop.
+class CallerListener {
+public:
+    virtual ~CallerListener() = default;
+    virtual void stopAccepting() = 0;
+};
+
+/// Makes the parts of an entry daemon that speak to the outside.
+class EntryParts {
+public:
+    virtual ~EntryParts() = default;
+
+    virtual std::unique_ptr<EndpointConnector> makeConnector(boost::asio::io_context& traffic) = 0;
+    virtual std::unique_ptr<CallerListener> makeCallerListener(
+        boost::asio::io_context& traffic, CallerHandlerFactory&) = 0;
+    virtual std::unique_ptr<TableStore> makeTable(boost::asio::io_context& control) = 0;
+
+    /// Called after makeTable; the feed may use the table, which outlives it.
+    virtual std::unique_ptr<DirectoryFeed> makeDirectoryFeed(boost::asio::io_context& control) = 0;
+};
+
+struct EntrySettings {
+    std::chrono::milliseconds limitWindow { 5000 }; ///< window in which requests of organisations are counted
+    double limitTolerance = 0; ///< part by which a window may exceed its limit
+    uint32_t limitSlack = 0; ///< requests by which a window may exceed its limit besides
+    VmId vm;
+    DataCentre dataCentre;
+    std::string run; ///< differs in each run of the process
+    std::string readinessAddress; ///< "IP:port"
+    std::string readinessPath;
+    std::chrono::milliseconds stopLimit { 6000 }; ///< from the request to stop until the process is killed
+    /// Time until the balancer has noticed that this VM is not ready: two questions, one a second.
+    std::chrono::milliseconds balancerNotice { 2200 };
+    /// Part of the stop limit that is kept for closing connections.
+    std::chrono::milliseconds closingTime { 700 };
+};
+
+/// One VM that serves sessions: one control thread, one traffic thread.
+class EntryDaemon {
+public:
+    EntryDaemon(EntrySettings, EntryParts&);
+    ~EntryDaemon();
+
+    EntryDaemon(const EntryDaemon&) = delete;
+    EntryDaemon& operator=(const EntryDaemon&) = delete;
+
+    /// Serves until SIGTERM or SIGINT. Returns the exit status.
+    int run();
+
+private:
+    class Implementation;
+    std::unique_ptr<Implementation> implementation;
+};
+
+} // namespace Lavendervane
--- /dev/null
+++ b/src/Fleet/FleetControl.cpp
@@ -0,0 +1,191 @@
+#include "Fleet/FleetControl.h"
+
+#include "Security/Digest.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace Lavendervane {
+
+// Bytes of the key under which this process digests callers' keys.
+static constexpr size_t digestKeyBytes = 32;
+
+FleetControl::FleetControl(
+    FleetControlSettings settings, Timers& timers, TableStore& table, TrafficPort& traffic, StructuredLog& log)
+    : settings(std::move(settings))
+    , timers(timers)
+    , table(table)
+    , traffic(traffic)
+    , log(log)
+    , keeper({ this->settings.vm, this->settings.run }, this->settings.shares, this->settings.seed)
+    , digestKey(randomBytes(digestKeyBytes))
+    , alive(std::make_shared<int>(0))
+{
+}
+
+FleetControl::~FleetControl()
+{
+    if (this->shareTimer)
+        this->timers.cancel(*this->shareTimer);
+    if (this->lapseTimer)
+        this->timers.cancel(*this->lapseTimer);
+}
+
+void FleetControl::start() { this->run(this->keeper.start(this->timers.now())); }
+
+void FleetControl::configurationRead(SessionConfiguration read)
+{
+    if (this->configuration && read.version <= this->configuration->version)
+        return;
+    this->log.write("configuration_applied",
+        { { "version", std::to_string(read.version) }, { "routes", std::to_string(read.routes.size()) },
+            { "organisations", std::to_string(read.organisations.size()) } });
+    this->configuration = std::make_shared<const SessionConfiguration>(std::move(read));
+    this->publish();
+    this->sharesWanted();
+}
+
+void FleetControl::registryRead(std::vector<RegisteredEndpoint> endpoints)
+{
+    this->registryKnown = true;
+    const Instant now = this->timers.now();
+    std::map<EndpointId, RegisteredEndpoint> present;
+    for (RegisteredEndpoint& endpoint : endpoints) {
+        const EndpointId id = endpoint.id;
+        present.emplace(id, std::move(endpoint));
+    }
+    for (const auto& [id, endpoint] : this->registry) {
+        if (present.find(id) != present.end())
+            continue;
+        // An address that another endpoint has taken over is certainly free of the old one.
+        const bool addressTaken = std::any_of(present.begin(), present.end(),
+            [&endpoint](const auto& other) { return other.second.address == endpoint.address; });
+        if (!addressTaken && this->lapsedSince.emplace(id, now).second)
+            this->log.write("endpoint_lapsed", { { "endpoint", id.str() }, { "group", endpoint.group.str() } });
+    }
+    for (const auto& [id, endpoint] : present) {
+        const auto known = this->registry.find(id);
+        this->lapsedSince.erase(id);
+        if (known == this->registry.end() || known->second != endpoint)
+            this->log.write("endpoint_registered",
+                { { "endpoint", id.str() }, { "group", endpoint.group.str() },
+                    { "role", endpoint.role == EndpointRole::Primary ? "primary" : "replica" },
+                    { "state", endpoint.draining ? "draining" : "ready" } });
+    }
+    std::erase_if(this->registry,
+        [this](const auto& entry) { return this->lapsedSince.find(entry.first) == this->lapsedSince.end(); });
+    for (auto& [id, endpoint] : present)
+        this->registry.insert_or_assign(id, std::move(endpoint));
+    this->forgetLapsed();
+    this->publish();
+}
+
+// Drops lapsed endpoints whose grace is over and schedules the next look.
+void FleetControl::forgetLapsed()
+{
+    const Instant now = this->timers.now();
+    std::optional<Instant> next;
+    bool dropped = false;
+    for (auto lapsed = this->lapsedSince.begin(); lapsed != this->lapsedSince.end();) {
+        const Instant end = lapsed->second + this->settings.lapseGrace;
+        if (end > now) {
+            next = next ? std::min(*next, end) : end;
+            ++lapsed;
+            continue;
+        }
+        this->log.write("endpoint_gone", { { "endpoint", lapsed->first.str() } });
+        this->registry.erase(lapsed->first);
+        lapsed = this->lapsedSince.erase(lapsed);
+        dropped = true;
+    }
+    if (this->lapseTimer)
+        this->timers.cancel(*this->lapseTimer);
+    this->lapseTimer.reset();
+    if (next) {
+        this->lapseTimer = this->timers.schedule(*next, [this] {
+            this->lapseTimer.reset();
+            this->forgetLapsed();
+        });
+    }
+    if (dropped)
+        this->publish();
+}
+
+void FleetControl::sourceChanged(const std::string& reason)
+{
+    if (reason.empty())
+        this->log.write("dependency_regained", { { "dependency", "store" } });
+    else
+        this->log.write("dependency_lost", { { "dependency", "store" }, { "reason", reason } });
+}
+
+void FleetControl::publish()
+{
+    if (!this->configuration || !this->registryKnown)
+        return;
+    std::vector<RegisteredEndpoint> endpoints;
+    for (const auto& [id, endpoint] : this->registry)
+        endpoints.push_back(endpoint);
+    this->traffic.setDirectory(std::make_shared<const Directory>(
+        ++this->directoryNumber, this->configuration, std::move(endpoints), this->vmCount, this->digestKey));
+}
+
+void FleetControl::sharesWanted() { this->run(this->keeper.handle(ShareTimerFired {}, this->timers.now())); }
+
+void FleetControl::setShareTimer(Instant when)
+{
+    if (this->shareTimer)
+        this->timers.cancel(*this->shareTimer);
+    this->shareTimer = this->timers.schedule(when, [this] {
+        this->shareTimer.reset();
+        this->sharesWanted();
+    });
+}
+
+void FleetControl::run(std::vector<ShareEffect> effects)
+{
+    const std::weak_ptr<int> here = this->alive;
+    for (ShareEffect& effect : effects) {
+        if (std::holds_alternative<ReadLedger>(effect)) {
+            this->table.readRow(ShareKeeper::ledgerKey(), [this, here](TableReply reply) {
+                if (!here.expired())
+                    this->run(this->keeper.handle(LedgerRead { std::move(reply) }, this->timers.now()));
+            });
+        } else if (const auto* write = std::get_if<WriteLedger>(&effect)) {
+            this->table.transact(write->transaction, [this, here](TableReply reply) {
+                if (here.expired())
+                    return;
+                if (reply.result.status == TableStatus::NotSent || reply.result.status == TableStatus::Unknown)
+                    this->log.write("shares_not_renewed", { { "reason", reply.reason } });
+                this->run(this->keeper.handle(LedgerWritten { std::move(reply) }, this->timers.now()));
+            });
+        } else if (const auto* apply = std::get_if<ApplyShares>(&effect)) {
+            if (!this->sharesKnown)
+                this->log.write("shares_obtained", {});
+            this->sharesKnown = true;
+            this->traffic.applyShares(apply->shares, apply->expiry);
+        } else if (std::holds_alternative<AskTraffic>(effect)) {
+            this->traffic.askWantedShares([this, here](ShareLedger::Shares shares) {
+                if (!here.expired())
+                    this->run(this->keeper.handle(SharesWanted { std::move(shares) }, this->timers.now()));
+            });
+        } else if (const auto* timer = std::get_if<SetShareTimer>(&effect)) {
+            this->setShareTimer(timer->when);
+        } else if (const auto* fleet = std::get_if<FleetSizeKnown>(&effect)) {
+            if (fleet->vms != this->vmCount) {
+                this->vmCount = fleet->vms;
+                this->publish();
+            }
+        } else if (this->stopped) {
+            std::exchange(this->stopped, nullptr)();
+        }
+    }
+}
+
+void FleetControl::stop(std::function<void()> done)
+{
+    this->stopped = std::move(done);
+    this->run(this->keeper.handle(ShareStopRequested {}, this->timers.now()));
+}
+
+} // namespace Lavendervane
--- /dev/null
+++ b/src/Fleet/FleetControl.h
@@ -0,0 +1,92 @@
+#pragma once
+
+#include "Fleet/Directory.h"
+#include "Fleet/DirectoryFeed.h"
+#include "Fleet/TableStore.h"
+#include "Limits/ShareKeeper.h"
+#include "Runtime/StructuredLog.h"
+#include "Runtime/Timers.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace Lavendervane {
+
+struct FleetControlSettings {
+    VmId vm;
+    DataCentre dataCentre;
+    std::string run; ///< differs in each run of the process
+    uint64_t seed = 0;
+    ShareKeeperSettings shares;
+    /// An endpoint whose registration has lapsed counts as gone only after this time, because registrations that lapse
+    /// while the store is away are back within two seconds of its return.
+    Duration lapseGrace = std::chrono::milliseconds(2500);
+};
+
+/// The traffic threads, as control sees them. Calls return at once; the work is done on the traffic thread.
+class TrafficPort {
+public:
+    virtual ~TrafficPort() = default;
+
+    virtual void setDirectory(std::shared_ptr<const Directory>) = 0;
+    virtual void applyShares(const ShareLedger::Shares&, Instant expiry) = 0;
+
+    /// Calls back on the control thread.
+    virtual void askWantedShares(std::function<void(ShareLedger::Shares)>) = 0;
+};
+
+/// Control of one VM: configuration, registry, shares of limits. Runs on the control thread.
+class FleetControl : public DirectoryListener {
+public:
+    FleetControl(FleetControlSettings, Timers&, TableStore&, TrafficPort&, StructuredLog&);
+    ~FleetControl() override;
+
+    FleetControl(const FleetControl&) = delete;
+    FleetControl& operator=(const FleetControl&) = delete;
+
+    void start();
+
+    void configurationRead(SessionConfiguration) override;
+    void registryRead(std::vector<RegisteredEndpoint>) override;
+    void sourceChanged(const std::string& reason) override;
+
+    /// Traffic needs larger shares.
+    void sharesWanted();
+
+    /// True once callers can be served: a configuration, a registry and shares are there.
+    bool ready() const { return this->configuration && this->registryKnown && this->sharesKnown; }
+
+    /// Gives shares back, then calls `done`.
+    void stop(std::function<void()> done);
+
+private:
+    void publish();
+    void forgetLapsed();
+    void run(std::vector<ShareEffect>);
+    void setShareTimer(Instant when);
+
+    FleetControlSettings settings;
+    Timers& timers;
+    TableStore& table;
+    TrafficPort& traffic;
+    StructuredLog& log;
+    ShareKeeper keeper;
+    std::string digestKey;
+    std::shared_ptr<const SessionConfiguration> configuration;
+    std::map<EndpointId, RegisteredEndpoint> registry;
+    std::map<EndpointId, Instant> lapsedSince;
+    bool registryKnown = false;
+    bool sharesKnown = false;
+    uint32_t vmCount = 1;
+    uint64_t directoryNumber = 0;
+    std::optional<Timers::Handle> shareTimer;
+    std::optional<Timers::Handle> lapseTimer;
+    std::function<void()> stopped;
+    std::shared_ptr<int> alive; ///< callbacks of calls under way end with this object
+};
+
+} // namespace Lavendervane
--- a/src/Http/HttpConnection.cpp
+++ b/src/Http/HttpConnection.cpp
@@ -2,6 +2,7 @@
 
 #include "Http/Address.h"
 #include "Http/HttpMessages.h"
+#include "Runtime/SocketOptions.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
@@ -95,8 +96,7 @@
                 return;
             }
             self->connected = true;
-            error_code ignored;
-            self->stream.socket().set_option(asio::ip::tcp::no_delay(true), ignored);
+            setSilenceLimits(self->stream.socket());
             self->send();
         });
     }
--- /dev/null
+++ b/src/Limits/ShareKeeper.cpp
@@ -0,0 +1,186 @@
+#include "Limits/ShareKeeper.h"
+
+#include "Core/Error.h"
+#include "Limits/WindowLimits.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace Lavendervane {
+
+const std::string& ShareKeeper::ledgerKey()
+{
+    static const std::string key = "shares";
+    return key;
+}
+
+ShareKeeper::ShareKeeper(ShareLedger::Holder holder, ShareKeeperSettings settings, uint64_t seed)
+    : holder(std::move(holder))
+    , settings(settings)
+    , random(seed)
+{
+}
+
+std::vector<ShareEffect> ShareKeeper::start(Instant now)
+{
+    this->notBefore = now + this->randomPart(this->settings.startSpread);
+    return this->wakeAt(this->notBefore);
+}
+
+Duration ShareKeeper::randomPart(Duration bound)
+{
+    return Duration(static_cast<int64_t>(this->random.below(static_cast<uint64_t>(bound.count()))));
+}
+
+std::vector<ShareEffect> ShareKeeper::handle(const ShareEvent& event, Instant now)
+{
+    if (const auto* wantedShares = std::get_if<SharesWanted>(&event))
+        return this->wanted(*wantedShares, now);
+    if (const auto* ledgerRead = std::get_if<LedgerRead>(&event))
+        return this->read(*ledgerRead, now);
+    if (const auto* ledgerWritten = std::get_if<LedgerWritten>(&event))
+        return this->written(*ledgerWritten, now);
+    if (std::holds_alternative<ShareTimerFired>(event))
+        return this->timerFired(now);
+    return this->stop(now);
+}
+
+std::vector<ShareEffect> ShareKeeper::wakeAt(Instant when) { return { SetShareTimer { when } }; }
+
+std::vector<ShareEffect> ShareKeeper::wanted(const SharesWanted& event, Instant now)
+{
+    if (this->stopping)
+        return {};
+    this->desired = event.shares;
+    this->busy = true;
+    if (!this->ledger)
+        return { ReadLedger {} };
+    return this->write(now);
+}
+
+std::vector<ShareEffect> ShareKeeper::timerFired(Instant now)
+{
+    if (this->stopping)
+        return {};
+    if (this->busy) {
+        this->askedAgain = true;
+        return {};
+    }
+    if (now < this->notBefore)
+        return this->wakeAt(this->notBefore);
+    this->busy = true;
+    return { AskTraffic {} };
+}
+
+// Takes over what the table says. Returns false if the content cannot be read.
+bool ShareKeeper::accept(const TableReply& reply)
+{
+    this->clock = reply.clock;
+    if (reply.result.rows.empty())
+        return false;
+    const TableRow& row = reply.result.rows.front();
+    try {
+        this->ledger = row.revision ? ShareLedger::parse(row.value) : ShareLedger();
+    } catch (const Error&) {
+        // Nobody else writes this row, so its content is from another version of the program. Shares that it records
+        // cannot be known; a new ledger starts only after the longest lifetime, which `failed` waits for.
+        this->ledger.reset();
+        return false;
+    }
+    this->revision = row.revision;
+    return true;
+}
+
+std::vector<ShareEffect> ShareKeeper::read(const LedgerRead& event, Instant now)
+{
+    if (this->stopping)
+        return { SharesLeft {} };
+    if (event.reply.result.status != TableStatus::Done || !this->accept(event.reply))
+        return this->failed(now);
+    return this->write(now);
+}
+
+std::vector<ShareEffect> ShareKeeper::write(Instant now)
+{
+    this->attempted = *this->ledger;
+    const uint64_t tableNow = this->clock.atLeast(now);
+    if (this->stopping)
+        this->attempted.leave(this->holder, tableNow, this->settings.ledger);
+    else
+        this->attemptedShares
+            = this->attempted.renew(this->holder, this->desired, tableNow, this->settings.ledger);
+    this->attemptedExpiry = now + std::chrono::milliseconds(this->settings.ledger.lifetimeMs) - this->clock.uncertainty();
+    Effects effects;
+    // What is given back may be used by others as soon as the write is done, even if its answer is lost.
+    bool lowered = false;
+    for (auto& [organisation, share] : this->held) {
+        const auto after = this->attemptedShares.find(organisation);
+        const uint32_t kept = after == this->attemptedShares.end() || this->stopping ? 0 : after->second;
+        lowered = lowered || kept < share;
+        share = std::min(share, kept);
+    }
+    if (lowered)
+        effects.emplace_back(ApplyShares { this->held, this->expiry });
+    TableTransaction transaction;
+    transaction.conditions.push_back({ ledgerKey(), this->revision });
+    transaction.writes.push_back({ ledgerKey(), this->attempted.serialise() });
+    effects.emplace_back(WriteLedger { std::move(transaction) });
+    return effects;
+}
+
+std::vector<ShareEffect> ShareKeeper::written(const LedgerWritten& event, Instant now)
+{
+    const TableStatus status = event.reply.result.status;
+    if (this->stopping)
+        return { SharesLeft {} };
+    if (status == TableStatus::Conflict) {
+        if (!this->accept(event.reply))
+            return this->failed(now);
+        this->busy = false;
+        this->conflictDelay = std::clamp(
+            2 * this->conflictDelay, this->settings.conflictPause, this->settings.longestConflictPause);
+        this->notBefore = now + this->randomPart(this->conflictDelay);
+        return this->wakeAt(this->notBefore);
+    }
+    if (status != TableStatus::Done) {
+        // A lost answer leaves the content unknown.
+        if (status == TableStatus::Unknown)
+            this->ledger.reset();
+        return this->failed(now);
+    }
+    this->ledger = this->attempted;
+    this->revision = event.reply.revision;
+    this->clock = event.reply.clock;
+    this->held = this->attemptedShares;
+    this->expiry = this->attemptedExpiry;
+    this->failureDelay = {};
+    this->busy = false;
+    ++this->exchanges;
+    this->conflictDelay = {};
+    this->notBefore = now + this->settings.exchangePause;
+    // The random part keeps VMs that started together from renewing together.
+    const Duration interval = this->exchanges == 1 ? this->settings.secondExchange : this->settings.renewInterval;
+    this->nextRenewal = std::exchange(this->askedAgain, false) ? this->notBefore
+                                                              : now + interval + this->randomPart(interval / 4);
+    return { ApplyShares { this->held, this->expiry },
+        FleetSizeKnown { static_cast<uint32_t>(this->ledger->holderCount()) }, SetShareTimer { this->nextRenewal } };
+}
+
+std::vector<ShareEffect> ShareKeeper::failed(Instant now)
+{
+    this->busy = false;
+    this->failureDelay = std::clamp(
+        2 * this->failureDelay, this->settings.failurePause, this->settings.longestFailurePause);
+    this->notBefore = now + this->failureDelay;
+    return this->wakeAt(this->notBefore);
+}
+
+std::vector<ShareEffect> ShareKeeper::stop(Instant now)
+{
+    this->stopping = true;
+    if (this->busy || !this->ledger)
+        return { SharesLeft {} }; // the next run of this VM frees the shares
+    return this->write(now);
+}
+
+} // namespace Lavendervane
--- /dev/null
+++ b/src/Limits/ShareKeeper.h
@@ -0,0 +1,137 @@
+#pragma once
+
+#include "Core/Instant.h"
+#include "Core/RandomGenerator.h"
+#include "Fleet/TableStore.h"
+#include "Limits/ShareLedger.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace Lavendervane {
+
+struct ShareKeeperSettings {
+    ShareLedger::Settings ledger;
+    /// Interval of renewals; a third of the lifetime lets two renewals fail.
+    Duration renewInterval = std::chrono::seconds(20);
+    /// Second exchange after the start, to learn of VMs that started at the same time.
+    Duration secondExchange = std::chrono::seconds(3);
+    /// Upper bound of the random pause before the first exchange. VMs often start together.
+    Duration startSpread = std::chrono::milliseconds(500);
+    /// Least time between two exchanges that were both successful.
+    Duration exchangePause = std::chrono::milliseconds(150);
+    /// First and longest pause after an exchange that failed.
+    Duration failurePause = std::chrono::milliseconds(100);
+    Duration longestFailurePause = std::chrono::milliseconds(1000);
+    /// Upper bound of the random pause after another VM has changed the ledger first; it doubles with each time in a
+    /// row up to the longest. An exchange takes about 10 ms.
+    Duration conflictPause = std::chrono::milliseconds(20);
+    Duration longestConflictPause = std::chrono::milliseconds(320);
+};
+
+/// Shares that traffic wants, in answer to AskTraffic or by itself.
+struct SharesWanted {
+    ShareLedger::Shares shares;
+};
+
+struct LedgerRead {
+    TableReply reply;
+};
+
+struct LedgerWritten {
+    TableReply reply;
+};
+
+struct ShareTimerFired {
+};
+
+/// The process is about to stop; shares are given back.
+struct ShareStopRequested {
+};
+
+using ShareEvent = std::variant<SharesWanted, LedgerRead, LedgerWritten, ShareTimerFired, ShareStopRequested>;
+
+struct ReadLedger {
+};
+
+struct WriteLedger {
+    TableTransaction transaction;
+};
+
+/// Traffic admits by these shares until `expiry`.
+struct ApplyShares {
+    ShareLedger::Shares shares;
+    Instant expiry;
+};
+
+/// Traffic is asked which shares it wants.
+struct AskTraffic {
+};
+
+struct SetShareTimer {
+    Instant when;
+};
+
+/// Number of VMs that hold shares.
+struct FleetSizeKnown {
+    uint32_t vms = 1;
+};
+
+/// The shares have been given back, or could not be.
+struct SharesLeft {
+};
+
+using ShareEffect
+    = std::variant<ReadLedger, WriteLedger, ApplyShares, AskTraffic, SetShareTimer, FleetSizeKnown, SharesLeft>;
+
+/// Obtains, renews and adapts this VM's shares of limits through the ledger row. Holds no clock and makes no calls.
+class ShareKeeper {
+public:
+    ShareKeeper(ShareLedger::Holder, ShareKeeperSettings, uint64_t seed);
+
+    std::vector<ShareEffect> start(Instant now);
+    std::vector<ShareEffect> handle(const ShareEvent&, Instant now);
+
+    /// Key of the row that holds the ledger.
+    static const std::string& ledgerKey();
+
+private:
+    using Effects = std::vector<ShareEffect>;
+
+    Effects wanted(const SharesWanted&, Instant now);
+    Effects read(const LedgerRead&, Instant now);
+    Effects written(const LedgerWritten&, Instant now);
+    Effects timerFired(Instant now);
+    Effects stop(Instant now);
+    Effects write(Instant now);
+    Effects failed(Instant now);
+    Effects wakeAt(Instant when);
+    bool accept(const TableReply&);
+    Duration randomPart(Duration bound);
+
+    ShareLedger::Holder holder;
+    ShareKeeperSettings settings;
+    RandomGenerator random;
+    std::optional<ShareLedger> ledger; ///< newest content known, with `revision`
+    uint64_t revision = 0;
+    TableClock clock;
+    ShareLedger attempted; ///< content of the write under way
+    Instant attemptedExpiry {};
+    ShareLedger::Shares attemptedShares;
+    ShareLedger::Shares held;
+    Instant expiry {};
+    ShareLedger::Shares desired;
+    bool busy = false; ///< a call is under way or traffic has been asked
+    bool askedAgain = false; ///< a larger share was wanted while a call was under way
+    bool stopping = false;
+    uint32_t exchanges = 0;
+    Instant notBefore {};
+    Instant nextRenewal {};
+    Duration failureDelay {};
+    Duration conflictDelay {};
+};
+
+} // namespace Lavendervane
--- /dev/null
+++ b/src/Runtime/SocketOptions.cpp
@@ -0,0 +1,27 @@
+#include "Runtime/SocketOptions.h"
+
+#include <netinet/tcp.h>
+
+namespace Lavendervane {
+
+// An idle connection whose peer is silent is found within idle time + interval * probes = 3 s, below the shortest bound
+// (4 s) after which machines count as in contact again.
+static constexpr int keepAliveIdleSeconds = 1;
+static constexpr int keepAliveIntervalSeconds = 1;
+static constexpr int keepAliveProbes = 2;
+static constexpr int unansweredMilliseconds = 3000;
+
+void setSilenceLimits(boost::asio::ip::tcp::socket& socket)
+{
+    using boost::asio::detail::socket_option::integer;
+    // A connection that has ended refuses options; the next read reports why it ended.
+    boost::system::error_code ignored;
+    socket.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
+    socket.set_option(boost::asio::socket_base::keep_alive(true), ignored);
+    socket.set_option(integer<IPPROTO_TCP, TCP_KEEPIDLE>(keepAliveIdleSeconds), ignored);
+    socket.set_option(integer<IPPROTO_TCP, TCP_KEEPINTVL>(keepAliveIntervalSeconds), ignored);
+    socket.set_option(integer<IPPROTO_TCP, TCP_KEEPCNT>(keepAliveProbes), ignored);
+    socket.set_option(integer<IPPROTO_TCP, TCP_USER_TIMEOUT>(unansweredMilliseconds), ignored);
+}
+
+} // namespace Lavendervane
--- /dev/null
+++ b/src/Statements/EndpointPool.h
@@ -0,0 +1,143 @@
+#pragma once
+
+#include "Core/Instant.h"
+#include "Fleet/Directory.h"
+#include "Runtime/Timers.h"
+#include "Statements/EndpointLink.h"
+#include "Statements/PooledConnection.h"
+
+#include <functional>
+#include <list>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace Lavendervane {
+
+struct EndpointPoolSettings {
+    /// Bound on the opening of a connection. An idle endpoint opens one within 30 ms; a queue of 16 statements ahead
+    /// of it takes up to 200 ms.
+    Duration openTimeout = std::chrono::milliseconds(400);
+    /// Pause between attempts to reach an endpoint that did not accept a connection.
+    Duration retryInterval = std::chrono::milliseconds(250);
+    /// Pause after the endpoint has refused a connection because it has too many. Others close idle ones meanwhile.
+    Duration fullPause = std::chrono::milliseconds(20);
+    /// Connections that may be opened at the same time; each takes a slot of the endpoint.
+    uint32_t concurrentOpens = 2;
+    /// A new connection takes about this long until one has been measured.
+    Duration assumedOpenTime = std::chrono::milliseconds(15);
+};
+
+/// Result of a wait for a connection. Without a connection, nothing was sent.
+struct Acquired {
+    std::shared_ptr<PooledConnection> connection;
+    std::string reason; ///< why there is none
+};
+
+using AcquireCallback = std::function<void(Acquired)>;
+
+/// Told when an endpoint becomes reachable or unreachable from this VM.
+class EndpointObserver {
+public:
+    virtual ~EndpointObserver() = default;
+    virtual void endpointReachable(const EndpointId&, bool reachable) = 0;
+};
+
+/// This VM's connections to one endpoint. A connection is opened for one organisation; when all connections that this
+/// VM may have are in use by others, an idle one is closed in favour of a new one.
+class EndpointPool : public std::enable_shared_from_this<EndpointPool> {
+public:
+    EndpointPool(RegisteredEndpoint, Timers&, EndpointConnector&, EndpointObserver&, EndpointPoolSettings = {});
+    ~EndpointPool();
+
+    EndpointPool(const EndpointPool&) = delete;
+    EndpointPool& operator=(const EndpointPool&) = delete;
+
+    const RegisteredEndpoint& endpoint() const { return this->target; }
+
+    /// New facts from the registry about the same run of the endpoint.
+    void update(const RegisteredEndpoint&);
+
+    /// Number of connections that this VM may have.
+    void setConnectionLimit(uint32_t);
+
+    /// Waits for a connection until `deadline`. `valuesStamp`: session values that the connection should have if
+    /// there is a choice. The callback is called once, possibly from within this call. Returns a number for `cancel`.
+    uint64_t acquire(const OrganisationId&, uint64_t valuesStamp, Instant deadline, AcquireCallback);
+
+    /// Forgets a wait; its callback is not called.
+    void cancel(uint64_t number);
+
+    /// Gives a connection back. A connection with a transaction or an unanswered statement is closed.
+    void release(const std::shared_ptr<PooledConnection>&);
+
+    /// Closes idle connections and fails all waits; connections in use end when they are released.
+    void retire();
+
+    bool reachable() const { return this->isReachable; }
+
+    /// Time from which the endpoint has been unreachable.
+    Instant unreachableSince() const { return this->failedSince; }
+
+    /// Expected time of a statement sent now as this organisation, waiting and opening included.
+    Duration expectedTime(const OrganisationId&) const;
+
+    /// Records the time of one statement at the endpoint.
+    void recordTime(Duration);
+
+    /// Newest log position seen in an answer.
+    const std::optional<LogPosition>& position() const { return this->lastPosition; }
+    void recordPosition(const LogPosition&);
+
+    size_t connectionCount() const { return this->connections.size(); }
+    size_t openedCount() const { return this->opened; }
+
+private:
+    friend class PooledConnection;
+
+    struct Waiter {
+        uint64_t number = 0;
+        OrganisationId organisation;
+        uint64_t valuesStamp = 0;
+        Instant deadline;
+        AcquireCallback callback;
+        Timers::Handle timer;
+    };
+
+    void dispatch();
+    std::shared_ptr<PooledConnection> findIdle(const OrganisationId&, uint64_t valuesStamp) const;
+    bool makeRoom();
+    void startOpening(const OrganisationId&);
+    void connectionOpened(PooledConnection&);
+    void connectionFailed(PooledConnection&, LinkFailure, AnswerCode, const std::string& message, bool whileOpening);
+    void remove(const PooledConnection&);
+    void failWaiters(const std::string& reason);
+    void setReachable(bool);
+    void scheduleRetry();
+    size_t openingFor(const OrganisationId&) const;
+    size_t openingCount() const;
+
+    RegisteredEndpoint target;
+    Timers& timers;
+    EndpointConnector& connector;
+    EndpointObserver& observer;
+    EndpointPoolSettings settings;
+    std::vector<std::shared_ptr<PooledConnection>> connections;
+    std::list<Waiter> waiters; ///< in order of arrival
+    uint32_t limit = 1;
+    uint64_t lastNumber = 0;
+    uint64_t opened = 0;
+    bool retired = false;
+    bool dispatching = false;
+    bool isReachable = true;
+    Instant failedSince {};
+    Instant fullUntil {};
+    OrganisationId lastOrganisation; ///< of the last opening, used to try again
+    std::optional<Timers::Handle> retryTimer;
+    Duration meanTime; ///< moving mean of the time of a statement
+    Duration meanOpenTime;
+    std::optional<LogPosition> lastPosition;
+};
+
+} // namespace Lavendervane
--- /dev/null
+++ b/src/Statements/GroupTraffic.cpp
@@ -0,0 +1,135 @@
+#include "Statements/GroupTraffic.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace Lavendervane {
+
+// A replica that lacked a position is asked again after this time; replication delays of healthy groups are shorter.
+static constexpr Duration laggingPause = std::chrono::milliseconds(200);
+// Expected extra cost of an endpoint in another data centre: a round trip over links of 1 to 2 ms one way.
+static constexpr Duration otherDataCentreCost = std::chrono::milliseconds(3);
+// Reads prefer replicas unless the primary is expected to answer this much sooner.
+static constexpr Duration primaryPenalty = std::chrono::milliseconds(15);
+
+GroupTraffic::GroupTraffic(
+    GroupId name, DataCentre own, Timers& timers, EndpointConnector& connector, EndpointObserver& observer)
+    : name(std::move(name))
+    , dataCentre(std::move(own))
+    , timers(timers)
+    , connector(connector)
+    , observer(observer)
+{
+}
+
+void GroupTraffic::update(const std::vector<RegisteredEndpoint>& endpoints, uint32_t connectionLimit)
+{
+    std::map<EndpointId, std::shared_ptr<EndpointPool>> kept;
+    bool rolesChanged = false;
+    for (const RegisteredEndpoint& endpoint : endpoints) {
+        const auto known = this->pools.find(endpoint.id);
+        std::shared_ptr<EndpointPool> pool;
+        if (known != this->pools.end() && known->second->endpoint().address == endpoint.address
+            && known->second->endpoint().startedAt == endpoint.startedAt) {
+            pool = known->second;
+            rolesChanged = rolesChanged || pool->endpoint().role != endpoint.role;
+            pool->update(endpoint);
+        } else {
+            pool = std::make_shared<EndpointPool>(endpoint, this->timers, this->connector, this->observer);
+            rolesChanged = true;
+        }
+        pool->setConnectionLimit(connectionLimit);
+        kept.emplace(endpoint.id, std::move(pool));
+    }
+    const auto previous = std::exchange(this->pools, std::move(kept));
+    for (const auto& [id, pool] : previous) {
+        const auto present = this->pools.find(id);
+        if (present == this->pools.end() || present->second != pool) {
+            pool->retire();
+            rolesChanged = true;
+        }
+    }
+    if (rolesChanged) {
+        this->refusedAsPrimary.clear();
+        this->notifyChanged();
+    }
+}
+
+std::shared_ptr<EndpointPool> GroupTraffic::primary() const
+{
+    std::shared_ptr<EndpointPool> found;
+    for (const auto& [id, pool] : this->pools) {
+        const bool refused = std::find(this->refusedAsPrimary.begin(), this->refusedAsPrimary.end(), id)
+            != this->refusedAsPrimary.end();
+        if (refused || pool->endpoint().role != EndpointRole::Primary)
+            continue;
+        // Of two endpoints that call themselves primary, the one with the newer term is.
+        if (!found || (pool->position() && (!found->position() || *found->position() < *pool->position())))
+            found = pool;
+    }
+    return found;
+}
+
+void GroupTraffic::primaryRefused(const EndpointId& endpoint)
+{
+    if (std::find(this->refusedAsPrimary.begin(), this->refusedAsPrimary.end(), endpoint)
+        == this->refusedAsPrimary.end())
+        this->refusedAsPrimary.push_back(endpoint);
+}
+
+std::shared_ptr<EndpointPool> GroupTraffic::chooseForRead(const LogPosition& required,
+    const OrganisationId& organisation, const std::vector<EndpointId>& tried, Instant now) const
+{
+    std::vector<ReadCandidate> candidates;
+    candidates.reserve(this->pools.size());
+    for (const auto& [id, pool] : this->pools) {
+        ReadCandidate candidate;
+        candidate.id = id;
+        candidate.primary = pool->endpoint().role == EndpointRole::Primary;
+        candidate.reachable = pool->reachable();
+        candidate.draining = pool->endpoint().draining;
+        candidate.expectedTime = pool->expectedTime(organisation);
+        if (pool->endpoint().dataCentre != this->dataCentre)
+            candidate.expectedTime += otherDataCentreCost;
+        candidate.position = pool->position();
+        if (const auto lagging = this->laggingUntil.find(id); lagging != this->laggingUntil.end())
+            candidate.laggingUntil = lagging->second;
+        candidates.push_back(std::move(candidate));
+    }
+    const auto chosen = Lavendervane::chooseForRead(candidates, required, tried, primaryPenalty, now);
+    return chosen ? this->find(*chosen) : nullptr;
+}
+
+void GroupTraffic::markLagging(const EndpointId& endpoint, Instant now)
+{
+    this->laggingUntil[endpoint] = now + laggingPause;
+}
+
+std::shared_ptr<EndpointPool> GroupTraffic::find(const EndpointId& endpoint) const
+{
+    const auto found = this->pools.find(endpoint);
+    return found == this->pools.end() ? nullptr : found->second;
+}
+
+uint64_t GroupTraffic::whenChanged(std::function<void()> action)
+{
+    this->actions.emplace(++this->lastAction, std::move(action));
+    return this->lastAction;
+}
+
+void GroupTraffic::forget(uint64_t number) { this->actions.erase(number); }
+
+void GroupTraffic::notifyChanged()
+{
+    for (auto& [number, action] : std::exchange(this->actions, {}))
+        action();
+}
+
+void GroupTraffic::retireAll()
+{
+    for (const auto& [id, pool] : std::exchange(this->pools, {}))
+        pool->retire();
+    this->notifyChanged();
+}
+
+} // namespace Lavendervane
--- /dev/null
+++ b/src/Statements/GroupTraffic.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include "Fleet/Directory.h"
+#include "Statements/EndpointChoice.h"
+#include "Statements/EndpointPool.h"
+#include "Statements/FreshnessLog.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <vector>
+
+namespace Lavendervane {
+
+/// One group as the traffic thread sees it: pools, freshness, and which endpoint is the primary.
+class GroupTraffic {
+public:
+    GroupTraffic(GroupId, DataCentre own, Timers&, EndpointConnector&, EndpointObserver&);
+
+    /// Takes over the endpoints of the registry. Pools of endpoints that left or started again are retired.
+    void update(const std::vector<RegisteredEndpoint>&, uint32_t connectionLimit);
+
+    /// Pool of the endpoint that is thought to be the primary; null if none is known.
+    std::shared_ptr<EndpointPool> primary() const;
+
+    /// The endpoint said that it is not the primary. It is not chosen again until the registry changes or another
+    /// endpoint has refused too.
+    void primaryRefused(const EndpointId&);
+
+    /// Endpoint for a read that must find the position; null if none is left.
+    std::shared_ptr<EndpointPool> chooseForRead(const LogPosition& required, const OrganisationId&,
+        const std::vector<EndpointId>& tried, Instant now) const;
+
+    /// The endpoint lacked a position that others hold.
+    void markLagging(const EndpointId&, Instant now);
+
+    std::shared_ptr<EndpointPool> find(const EndpointId&) const;
+
+    FreshnessLog& freshness() { return this->log; }
+    const GroupId& id() const { return this->name; }
+
+    /// Calls `action` once when the primary may have changed. Returns a number for `forget`.
+    uint64_t whenChanged(std::function<void()> action);
+    void forget(uint64_t number);
+
+    /// Runs the actions of `whenChanged`.
+    void notifyChanged();
+
+    /// Earliest time at which a new primary is expected, after a promotion has been ordered.
+    std::optional<Instant> primaryExpected;
+
+    void retireAll();
+
+private:
+    GroupId name;
+    DataCentre dataCentre;
+    Timers& timers;
+    EndpointConnector& connector;
+    EndpointObserver& observer;
+    std::map<EndpointId, std::shared_ptr<EndpointPool>> pools;
+    std::map<EndpointId, Instant> laggingUntil;
+    std::vector<EndpointId> refusedAsPrimary;
+    FreshnessLog log;
+    std::map<uint64_t, std::function<void()>> actions;
+    uint64_t lastAction = 0;
+};
+
+} // namespace Lavendervane
--- /dev/null
+++ b/src/Statements/StatementService.cpp
@@ -0,0 +1,116 @@
+#include "Statements/StatementService.h"
+
+#include "Statements/CallerSession.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+namespace Lavendervane {
+
+StatementService::StatementService(StatementServiceSettings settings, Timers& timers, EndpointConnector& connector,
+    TrafficDemands& demands, TrafficLog& log)
+    : options(std::move(settings))
+    , clock(timers)
+    , connector(connector)
+    , control(demands)
+    , events(log)
+    , admission(this->options.limits)
+{
+}
+
+StatementService::~StatementService() = default;
+
+std::shared_ptr<CallerHandler> StatementService::makeHandler(CallerLink& link)
+{
+    auto session = std::make_shared<CallerSession>(*this, link);
+    this->sessions.insert(session.get());
+    return session;
+}
+
+// Requests that all VMs may admit in one window.
+static uint32_t windowBudget(const RateLimit& limit, const StatementServiceSettings& settings)
+{
+    const double seconds = std::chrono::duration<double>(settings.limits.window).count();
+    const double stated = limit.burst + limit.rate * seconds;
+    return static_cast<uint32_t>(stated * (1 + settings.limitTolerance / 2) + settings.limitSlack / 2.0);
+}
+
+void StatementService::setDirectory(std::shared_ptr<const Directory> directory)
+{
+    this->current = std::move(directory);
+    std::map<OrganisationId, uint32_t> budgets;
+    for (const SessionOrganisation& organisation : this->current->configuration().organisations)
+        budgets.emplace(organisation.name, windowBudget(organisation.limit, this->options));
+    this->admission.setBudgets(budgets);
+
+    std::map<GroupId, std::vector<RegisteredEndpoint>> members;
+    this->groupOf.clear();
+    for (const RegisteredEndpoint& endpoint : this->current->endpoints()) {
+        if (!this->current->findGroup(endpoint.group))
+            continue;
+        members[endpoint.group].push_back(endpoint);
+        this->groupOf[endpoint.id] = endpoint.group;
+    }
+    for (const auto& [name, endpoints] : members) {
+        auto& group = this->groups[name];
+        if (!group)
+            group = std::make_unique<GroupTraffic>(
+                name, this->options.dataCentre, this->clock, this->connector, static_cast<EndpointObserver&>(*this));
+        const uint32_t connections = this->current->findGroup(name)->connectionsPerEndpoint;
+        const uint32_t usable = connections - std::min(connections, this->options.reservedConnections);
+        group->update(endpoints, std::max(1U, usable / this->current->vmCount()));
+    }
+    std::erase_if(this->groups, [&members](const auto& entry) {
+        if (members.find(entry.first) != members.end())
+            return false;
+        entry.second->retireAll();
+        return true;
+    });
+    const auto all = this->sessions;
+    for (CallerSession* session : all)
+        session->directoryChanged();
+}
+
+GroupTraffic* StatementService::findGroup(const GroupId& name)
+{
+    const auto found = this->groups.find(name);
+    return found == this->groups.end() ? nullptr : found->second.get();
+}
+
+void StatementService::closeIdleSessions()
+{
+    this->isClosing = true;
+    const auto all = this->sessions;
+    for (CallerSession* session : all)
+        session->closeWhenIdle();
+}
+
+void StatementService::abortTransactions()
+{
+    const auto all = this->sessions;
+    for (CallerSession* session : all)
+        session->abortTransaction("the proxy is stopping");
+}
+
+void StatementService::shutDown()
+{
+    for (auto& [name, group] : this->groups)
+        group->retireAll();
+    this->groups.clear();
+}
+
+void StatementService::sessionEnded(CallerSession& session) { this->sessions.erase(&session); }
+
+void StatementService::endpointReachable(const EndpointId& endpoint, bool reachable)
+{
+    this->events.endpointChanged(endpoint, reachable ? "reachable" : "unreachable");
+    const auto group = this->groupOf.find(endpoint);
+    if (group == this->groupOf.end())
+        return;
+    this->control.endpointReachable(group->second, endpoint, reachable);
+    if (GroupTraffic* traffic = this->findGroup(group->second); traffic && reachable)
+        traffic->notifyChanged();
+}
+
+} // namespace Lavendervane
--- /dev/null
+++ b/src/Statements/TrafficLog.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "Core/Identifiers.h"
+#include "Core/Instant.h"
+#include "Statements/StatementAnswer.h"
+
+#include <string>
+#include <string_view>
+
+namespace Lavendervane {
+
+/// One statement that did not end with the endpoint's success.
+struct FailedStatement {
+    std::string id; ///< as the caller gave it
+    OrganisationId organisation;
+    std::string database;
+    AnswerCode code = AnswerCode::Done;
+    std::string reason;
+    EndpointId endpoint; ///< last one that was tried; empty if none
+    Duration took {};
+    uint32_t attempts = 0;
+    uint64_t configurationVersion = 0;
+};
+
+/// Receives what traffic has decided, for logs and metrics. Calls come on the traffic thread and must not block.
+class TrafficLog {
+public:
+    virtual ~TrafficLog() = default;
+
+    virtual void statementFailed(const FailedStatement&) = 0;
+    virtual void statementDone(bool atReplica, Duration took) = 0;
+    virtual void endpointChanged(const EndpointId&, std::string_view change) = 0;
+};
+
+} // namespace Lavendervane
