--- a/src/Fleet/EntryDaemon.cpp
+++ b/src/Fleet/EntryDaemon.cpp
@@ -2,6 +2,7 @@
 
 #include "Fleet/FleetControl.h"
 #include "Http/HttpServer.h"
+#include "Peers/DatagramPeers.h"
 #include "Runtime/AsioTimers.h"
 #include "Runtime/StructuredLog.h"
 #include "Statements/StatementService.h"
@@ -99,7 +100,9 @@
         , table(parts.makeTable(this->controlContext))
         , feed(parts.makeDirectoryFeed(this->controlContext))
         , connector(parts.makeConnector(this->trafficContext))
-        , service(serviceSettings(this->settings), this->trafficTimers, *this->connector, *this, this->requestLog)
+        , peers(this->trafficContext, this->settings.peerAddress)
+        , service(serviceSettings(this->settings), this->trafficTimers, *this->connector, this->peers, *this,
+              this->requestLog)
         , control(controlSettings(this->settings), this->controlTimers, *this->table, *this, this->log)
         , listener(parts.makeCallerListener(this->trafficContext, this->service))
         , signals(this->controlContext, SIGTERM, SIGINT, SIGHUP)
@@ -141,29 +144,27 @@
 
     void applyShares(const ShareLedger::Shares& shares, Instant expiry) override
     {
-        asio::post(
-            this->trafficContext, [this, shares, expiry] { this->service.limits().setShares(shares, expiry, this->trafficTimers.now()); });
+        asio::post(this->trafficContext,
+            [this, shares, expiry] { this->service.shares().setShares(shares, expiry, this->trafficTimers.now()); });
+    }
+
+    void setPeers(std::vector<PeerAddress> peers) override
+    {
+        asio::post(this->trafficContext,
+            [this, peers = std::move(peers)] { this->service.admission().setPeers(peers); });
     }
 
-    void askWantedShares(std::function<void(ShareLedger::Shares)> callback) override
+    void askDemands(std::function<void(ShareLedger::Demands)> callback) override
     {
         asio::post(this->trafficContext, [this, callback = std::move(callback)] {
-            this->wantedPosted = false;
-            auto shares = this->service.limits().wantedShares(this->trafficTimers.now());
+            auto demands = this->service.shares().demands(this->trafficTimers.now());
             asio::post(this->controlContext,
-                [callback, shares = std::move(shares)]() mutable { callback(std::move(shares)); });
+                [callback, demands = std::move(demands)]() mutable { callback(std::move(demands)); });
         });
     }
 
     // TrafficDemands, called on the traffic thread
 
-    void sharesWanted() override
-    {
-        if (std::exchange(this->wantedPosted, true))
-            return;
-        asio::post(this->controlContext, [this] { this->control.sharesWanted(); });
-    }
-
     void endpointReachable(const GroupId&, const EndpointId&, bool) override { }
 
 private:
@@ -171,7 +172,8 @@
     {
         StatementServiceSettings service;
         service.dataCentre = settings.dataCentre;
-        service.limits.window = settings.limitWindow;
+        service.vm = settings.vm;
+        service.limitWindow = settings.limitWindow;
         service.limitTolerance = settings.limitTolerance;
         service.limitSlack = settings.limitSlack;
         return service;
@@ -180,10 +182,8 @@
     static FleetControlSettings controlSettings(const EntrySettings& settings)
     {
         FleetControlSettings control;
-        control.vm = settings.vm;
-        control.dataCentre = settings.dataCentre;
+        control.self = { settings.vm, settings.dataCentre, settings.peerAddress };
         control.run = settings.run;
-        control.shares.ledger.windowMs = static_cast<uint64_t>(settings.limitWindow.count());
         control.seed = stableHash(settings.vm.str() + settings.run);
         return control;
     }
@@ -261,6 +261,7 @@
     std::unique_ptr<TableStore> table;
     std::unique_ptr<DirectoryFeed> feed;
     std::unique_ptr<EndpointConnector> connector;
+    DatagramPeers peers;
     StatementService service;
     FleetControl control;
     std::unique_ptr<CallerListener> listener;
@@ -268,7 +269,6 @@
     std::optional<HttpServer> readinessServer;
     bool stopping = false;
     bool ending = false;
-    bool wantedPosted = false; ///< traffic thread
 };
 
 EntryDaemon::EntryDaemon(EntrySettings settings, EntryParts& parts)
--- a/src/Fleet/EntryDaemon.h
+++ b/src/Fleet/EntryDaemon.h
@@ -42,6 +42,7 @@
     VmId vm;
     DataCentre dataCentre;
     std::string run; ///< differs in each run of the process
+    std::string peerAddress; ///< "IP:port" for messages between VMs
     std::string readinessAddress; ///< "IP:port"
     std::string readinessPath;
     std::chrono::milliseconds stopLimit { 6000 }; ///< from the request to stop until the process is killed
--- a/src/Fleet/FleetControl.cpp
+++ b/src/Fleet/FleetControl.cpp
@@ -17,7 +17,7 @@
     , table(table)
     , traffic(traffic)
     , log(log)
-    , keeper({ this->settings.vm, this->settings.run }, this->settings.shares, this->settings.seed)
+    , keeper({ this->settings.self, this->settings.run }, this->settings.shares, this->settings.seed)
     , digestKey(randomBytes(digestKeyBytes))
     , alive(std::make_shared<int>(0))
 {
@@ -40,9 +40,16 @@
     this->log.write("configuration_applied",
         { { "version", std::to_string(read.version) }, { "routes", std::to_string(read.routes.size()) },
             { "organisations", std::to_string(read.organisations.size()) } });
+    const bool newOrganisations = !this->configuration
+        || !std::all_of(read.organisations.begin(), read.organisations.end(), [this](const auto& organisation) {
+               const auto& known = this->configuration->organisations;
+               return std::any_of(known.begin(), known.end(),
+                   [&organisation](const auto& other) { return other.name == organisation.name; });
+           });
     this->configuration = std::make_shared<const SessionConfiguration>(std::move(read));
     this->publish();
-    this->sharesWanted();
+    if (newOrganisations && this->sharesKnown)
+        this->shareTimerFired();
 }
 
 void FleetControl::registryRead(std::vector<RegisteredEndpoint> endpoints)
@@ -130,7 +137,7 @@
         ++this->directoryNumber, this->configuration, std::move(endpoints), this->vmCount, this->digestKey));
 }
 
-void FleetControl::sharesWanted() { this->run(this->keeper.handle(ShareTimerFired {}, this->timers.now())); }
+void FleetControl::shareTimerFired() { this->run(this->keeper.handle(ShareTimerFired {}, this->timers.now())); }
 
 void FleetControl::setShareTimer(Instant when)
 {
@@ -138,7 +145,7 @@
         this->timers.cancel(*this->shareTimer);
     this->shareTimer = this->timers.schedule(when, [this] {
         this->shareTimer.reset();
-        this->sharesWanted();
+        this->shareTimerFired();
     });
 }
 
@@ -164,24 +171,30 @@
                 this->log.write("shares_obtained", {});
             this->sharesKnown = true;
             this->traffic.applyShares(apply->shares, apply->expiry);
-        } else if (std::holds_alternative<AskTraffic>(effect)) {
-            this->traffic.askWantedShares([this, here](ShareLedger::Shares shares) {
+        } else if (std::holds_alternative<AskDemands>(effect)) {
+            this->traffic.askDemands([this, here](ShareLedger::Demands demands) {
                 if (!here.expired())
-                    this->run(this->keeper.handle(SharesWanted { std::move(shares) }, this->timers.now()));
+                    this->run(this->keeper.handle(DemandsMeasured { std::move(demands) }, this->timers.now()));
             });
         } else if (const auto* timer = std::get_if<SetShareTimer>(&effect)) {
             this->setShareTimer(timer->when);
-        } else if (const auto* fleet = std::get_if<FleetSizeKnown>(&effect)) {
-            if (fleet->vms != this->vmCount) {
-                this->vmCount = fleet->vms;
-                this->publish();
-            }
+        } else if (const auto* fleet = std::get_if<FleetKnown>(&effect)) {
+            this->fleetKnown(fleet->vms);
         } else if (this->stopped) {
             std::exchange(this->stopped, nullptr)();
         }
     }
 }
 
+void FleetControl::fleetKnown(const std::vector<PeerAddress>& vms)
+{
+    this->traffic.setPeers(vms);
+    if (vms.size() == this->vmCount)
+        return;
+    this->vmCount = static_cast<uint32_t>(vms.size());
+    this->publish();
+}
+
 void FleetControl::stop(std::function<void()> done)
 {
     this->stopped = std::move(done);
--- a/src/Fleet/FleetControl.h
+++ b/src/Fleet/FleetControl.h
@@ -17,8 +17,7 @@
 namespace Lavendervane {
 
 struct FleetControlSettings {
-    VmId vm;
-    DataCentre dataCentre;
+    PeerAddress self;
     std::string run; ///< differs in each run of the process
     uint64_t seed = 0;
     ShareKeeperSettings shares;
@@ -35,8 +34,10 @@
     virtual void setDirectory(std::shared_ptr<const Directory>) = 0;
     virtual void applyShares(const ShareLedger::Shares&, Instant expiry) = 0;
 
+    virtual void setPeers(std::vector<PeerAddress>) = 0;
+
     /// Calls back on the control thread.
-    virtual void askWantedShares(std::function<void(ShareLedger::Shares)>) = 0;
+    virtual void askDemands(std::function<void(ShareLedger::Demands)>) = 0;
 };
 
 /// Control of one VM: configuration, registry, shares of limits. Runs on the control thread.
@@ -54,9 +55,6 @@
     void registryRead(std::vector<RegisteredEndpoint>) override;
     void sourceChanged(const std::string& reason) override;
 
-    /// Traffic needs larger shares.
-    void sharesWanted();
-
     /// True once callers can be served: a configuration, a registry and shares are there.
     bool ready() const { return this->configuration && this->registryKnown && this->sharesKnown; }
 
@@ -66,7 +64,9 @@
 private:
     void publish();
     void forgetLapsed();
+    void fleetKnown(const std::vector<PeerAddress>&);
     void run(std::vector<ShareEffect>);
+    void shareTimerFired();
     void setShareTimer(Instant when);
 
     FleetControlSettings settings;
--- a/src/Http/HttpConnection.cpp
+++ b/src/Http/HttpConnection.cpp
@@ -10,6 +10,7 @@
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 
+#include <algorithm>
 #include <cassert>
 #include <optional>
 #include <utility>
@@ -21,6 +22,10 @@
 namespace http = boost::beast::http;
 using boost::system::error_code;
 
+// A host that does not answer the opening within this time is treated as unreachable. Connections within a region open
+// within 10 ms; an answer to a lost opening packet would come after a second at the earliest.
+static constexpr auto connectTimeout = std::chrono::milliseconds(700);
+
 class HttpConnection::Implementation : public std::enable_shared_from_this<HttpConnection::Implementation> {
 public:
     Implementation(asio::io_context& context, std::string address)
@@ -43,7 +48,7 @@
         this->request.set(http::field::content_type, "application/json");
         this->request.body() = std::move(body);
         this->request.prepare_payload();
-        this->stream.expires_after(timeout);
+        this->timeout = timeout;
         if (this->connected)
             this->send();
         else
@@ -89,6 +94,7 @@
                 });
             return;
         }
+        this->stream.expires_after(std::min<std::chrono::milliseconds>(connectTimeout, this->timeout));
         this->stream.async_connect(endpoint, [self = this->shared_from_this()](error_code error) {
             if (error) {
                 const bool refused = error == asio::error::connection_refused;
@@ -103,6 +109,7 @@
 
     void send()
     {
+        this->stream.expires_after(this->timeout);
         http::async_write(this->stream, this->request, [self = this->shared_from_this()](error_code error, size_t) {
             if (error)
                 self->fail(error);
@@ -147,6 +154,7 @@
     }
 
     beast::tcp_stream stream;
+    std::chrono::milliseconds timeout {};
     bool busy = false;
     bool failed = false;
     HttpRequest request;
--- /dev/null
+++ b/src/Limits/LimitShares.cpp
@@ -0,0 +1,116 @@
+#include "Limits/LimitShares.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace Lavendervane {
+
+// Time constant of the moving mean of demand, in seconds. Callers come and go in waves of about ten seconds.
+static constexpr double demandSeconds = 4;
+// Time for which a VM borrows at once, in seconds. A lender's answer takes about 3 ms.
+static constexpr double borrowSeconds = 0.25;
+static constexpr uint64_t mostBorrowed = 20 * oneRequest;
+
+void LimitShares::setLimits(const std::map<OrganisationId, Capacity>& limits, Instant now)
+{
+    std::erase_if(
+        this->entries, [&limits](const auto& entry) { return limits.find(entry.first) == limits.end(); });
+    for (const auto& [organisation, whole] : limits) {
+        auto [entry, added] = this->entries.try_emplace(organisation);
+        if (added)
+            entry->second.bucket = TokenBucket({}, now);
+        entry->second.whole = whole;
+        this->applyCapacity(entry->second, now);
+    }
+}
+
+void LimitShares::setShares(const std::map<OrganisationId, uint32_t>& shares, Instant until, Instant now)
+{
+    this->expiry = until;
+    for (auto& [organisation, entry] : this->entries) {
+        const auto share = shares.find(organisation);
+        entry.share = share == shares.end() ? 0 : share->second;
+        this->applyCapacity(entry, now);
+    }
+}
+
+void LimitShares::applyCapacity(Entry& entry, Instant now) const
+{
+    const auto part = [&entry](uint64_t whole) { return whole * entry.share / wholeShare; };
+    entry.bucket.setCapacity({ part(entry.whole.milliRate), part(entry.whole.milliBurst) }, now);
+    entry.borrowed = std::min(entry.borrowed, entry.whole.milliBurst);
+}
+
+void LimitShares::decay(Entry& entry, Instant now)
+{
+    const double elapsed = std::chrono::duration<double>(now - entry.measured).count();
+    if (elapsed <= 0)
+        return;
+    entry.demand *= std::exp(-elapsed / demandSeconds);
+    entry.measured = now;
+}
+
+bool LimitShares::tryTake(const OrganisationId& organisation, Instant now)
+{
+    const auto found = this->entries.find(organisation);
+    if (found == this->entries.end() || now >= this->expiry)
+        return false;
+    Entry& entry = found->second;
+    if (entry.owed >= oneRequest && entry.bucket.take(oneRequest, now))
+        entry.owed -= oneRequest;
+    const uint64_t fromBorrowed = std::min(entry.borrowed, oneRequest);
+    if (fromBorrowed < oneRequest && !entry.bucket.take(oneRequest - fromBorrowed, now))
+        return false;
+    entry.borrowed -= fromBorrowed;
+    decay(entry, now);
+    entry.demand += 1 / demandSeconds;
+    return true;
+}
+
+void LimitShares::countRepeat(const OrganisationId& organisation, Instant now)
+{
+    const auto found = this->entries.find(organisation);
+    if (found != this->entries.end() && !found->second.bucket.take(oneRequest, now))
+        found->second.owed += oneRequest;
+}
+
+uint64_t LimitShares::lend(const OrganisationId& organisation, uint64_t wanted, Instant now)
+{
+    const auto found = this->entries.find(organisation);
+    if (found == this->entries.end() || now >= this->expiry)
+        return 0;
+    Entry& entry = found->second;
+    const uint64_t lent = std::min(wanted, entry.bucket.milliTokens(now) / 2);
+    if (!lent || !entry.bucket.take(lent, now))
+        return 0;
+    return lent;
+}
+
+void LimitShares::addBorrowed(const OrganisationId& organisation, uint64_t milliTokens)
+{
+    const auto found = this->entries.find(organisation);
+    if (found != this->entries.end())
+        found->second.borrowed = std::min(found->second.borrowed + milliTokens, found->second.whole.milliBurst);
+}
+
+uint64_t LimitShares::worthBorrowing(const OrganisationId& organisation, Instant now)
+{
+    const auto found = this->entries.find(organisation);
+    if (found == this->entries.end())
+        return 0;
+    decay(found->second, now);
+    const auto tokens = static_cast<uint64_t>(found->second.demand * borrowSeconds * static_cast<double>(oneRequest));
+    return std::clamp(tokens, oneRequest, mostBorrowed);
+}
+
+std::map<OrganisationId, uint64_t> LimitShares::demands(Instant now)
+{
+    std::map<OrganisationId, uint64_t> rates;
+    for (auto& [organisation, entry] : this->entries) {
+        decay(entry, now);
+        rates.emplace(organisation, static_cast<uint64_t>(entry.demand * static_cast<double>(oneRequest)));
+    }
+    return rates;
+}
+
+} // namespace Lavendervane
--- /dev/null
+++ b/src/Limits/LimitShares.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include "Core/Identifiers.h"
+#include "Core/Instant.h"
+#include "Limits/GrantMessages.h"
+#include "Limits/TokenBucket.h"
+
+#include <cstdint>
+#include <map>
+
+namespace Lavendervane {
+
+/// Whole of an organisation's limit, in the unit of shares.
+static constexpr uint32_t wholeShare = 1'000'000;
+
+/// One request, in the unit of token buckets.
+static constexpr uint64_t oneRequest = 1000;
+
+/// This VM's shares of the organisations' limits. A share is a token bucket with that part of the limit's rate and
+/// burst. It starts empty, also after a restart or when it grows, so over all VMs together no window of any length holds
+/// more than the limit, whatever is shared out, lent, lost or restarted. Used on one thread.
+class LimitShares {
+public:
+    /// Limits of all VMs together; organisations that are missing are removed.
+    void setLimits(const std::map<OrganisationId, Capacity>&, Instant now);
+
+    /// Shares of this VM, in parts of `wholeShare`, valid until `expiry`.
+    void setShares(const std::map<OrganisationId, uint32_t>&, Instant expiry, Instant now);
+
+    /// Admits one request, or returns false.
+    bool tryTake(const OrganisationId&, Instant now);
+
+    /// Counts a request that runs a second time. It is not refused, because the first run is a fact; the next requests
+    /// pay for it.
+    void countRepeat(const OrganisationId&, Instant now);
+
+    /// Takes up to `wanted` (1/1000 requests) out for another VM. At most half of what is there is lent.
+    uint64_t lend(const OrganisationId&, uint64_t wanted, Instant now);
+
+    /// Adds what another VM has lent, in 1/1000 requests.
+    void addBorrowed(const OrganisationId&, uint64_t milliTokens);
+
+    /// Tokens worth borrowing at once, in 1/1000 requests: what the callers here use in a short time.
+    uint64_t worthBorrowing(const OrganisationId&, Instant now);
+
+    /// Requests per second asked for lately, in 1/1000, whether admitted or not.
+    std::map<OrganisationId, uint64_t> demands(Instant now);
+
+    bool knows(const OrganisationId& organisation) const { return this->entries.count(organisation) > 0; }
+
+private:
+    struct Entry {
+        Capacity whole;
+        uint32_t share = 0;
+        TokenBucket bucket;
+        uint64_t borrowed = 0; ///< 1/1000 requests
+        uint64_t owed = 0; ///< 1/1000 requests, for repeats that ran without a token
+        double demand = 0; ///< requests per second, moving mean
+        Instant measured {};
+    };
+
+    void applyCapacity(Entry&, Instant now) const;
+    static void decay(Entry&, Instant now);
+
+    Instant expiry {};
+    std::map<OrganisationId, Entry> entries;
+};
+
+} // namespace Lavendervane
--- a/src/Limits/ShareKeeper.cpp
+++ b/src/Limits/ShareKeeper.cpp
@@ -1,7 +1,6 @@
 #include "Limits/ShareKeeper.h"
 
 #include "Core/Error.h"
-#include "Limits/WindowLimits.h"
 
 #include <algorithm>
 #include <utility>
@@ -23,8 +22,7 @@
 
 std::vector<ShareEffect> ShareKeeper::start(Instant now)
 {
-    this->notBefore = now + this->randomPart(this->settings.startSpread);
-    return this->wakeAt(this->notBefore);
+    return { SetShareTimer { now + this->randomPart(this->settings.startSpread) } };
 }
 
 Duration ShareKeeper::randomPart(Duration bound)
@@ -34,8 +32,8 @@
 
 std::vector<ShareEffect> ShareKeeper::handle(const ShareEvent& event, Instant now)
 {
-    if (const auto* wantedShares = std::get_if<SharesWanted>(&event))
-        return this->wanted(*wantedShares, now);
+    if (const auto* demandsMeasured = std::get_if<DemandsMeasured>(&event))
+        return this->measured(*demandsMeasured, now);
     if (const auto* ledgerRead = std::get_if<LedgerRead>(&event))
         return this->read(*ledgerRead, now);
     if (const auto* ledgerWritten = std::get_if<LedgerWritten>(&event))
@@ -45,46 +43,37 @@
     return this->stop(now);
 }
 
-std::vector<ShareEffect> ShareKeeper::wakeAt(Instant when) { return { SetShareTimer { when } }; }
-
-std::vector<ShareEffect> ShareKeeper::wanted(const SharesWanted& event, Instant now)
+std::vector<ShareEffect> ShareKeeper::timerFired(Instant)
 {
-    if (this->stopping)
+    if (this->busy || this->stopping)
         return {};
-    this->desired = event.shares;
     this->busy = true;
-    if (!this->ledger)
-        return { ReadLedger {} };
-    return this->write(now);
+    return { AskDemands {} };
 }
 
-std::vector<ShareEffect> ShareKeeper::timerFired(Instant now)
+std::vector<ShareEffect> ShareKeeper::measured(const DemandsMeasured& event, Instant now)
 {
     if (this->stopping)
         return {};
-    if (this->busy) {
-        this->askedAgain = true;
-        return {};
-    }
-    if (now < this->notBefore)
-        return this->wakeAt(this->notBefore);
-    this->busy = true;
-    return { AskTraffic {} };
+    this->demands = event.demands;
+    if (!this->ledger)
+        return { ReadLedger {} };
+    return this->write(now);
 }
 
 // Takes over what the table says. Returns false if the content cannot be read.
 bool ShareKeeper::accept(const TableReply& reply)
 {
     this->clock = reply.clock;
+    this->ledger.reset();
     if (reply.result.rows.empty())
         return false;
     const TableRow& row = reply.result.rows.front();
     try {
         this->ledger = row.revision ? ShareLedger::parse(row.value) : ShareLedger();
     } catch (const Error&) {
-        // Nobody else writes this row, so its content is from another version of the program. Shares that it records
-        // cannot be known; a new ledger starts only after the longest lifetime, which `failed` waits for.
-        this->ledger.reset();
+        // Only this program writes the row, so its content is from another version of it. Shares that it records cannot
+        // be known, and none are taken.
         return false;
     }
     this->revision = row.revision;
@@ -103,21 +92,22 @@
 std::vector<ShareEffect> ShareKeeper::write(Instant now)
 {
     this->attempted = *this->ledger;
-    const uint64_t tableNow = this->clock.atLeast(now);
+    this->attemptedShares.clear();
     if (this->stopping)
-        this->attempted.leave(this->holder, tableNow, this->settings.ledger);
+        this->attempted.leave(this->holder);
     else
         this->attemptedShares
-            = this->attempted.renew(this->holder, this->desired, tableNow, this->settings.ledger);
-    this->attemptedExpiry = now + std::chrono::milliseconds(this->settings.ledger.lifetimeMs) - this->clock.uncertainty();
+            = this->attempted.renew(this->holder, this->demands, this->clock.atLeast(now), this->settings.ledger);
+    this->attemptedExpiry
+        = now + std::chrono::milliseconds(this->settings.ledger.lifetimeMs) - this->clock.uncertainty();
     Effects effects;
     // What is given back may be used by others as soon as the write is done, even if its answer is lost.
     bool lowered = false;
     for (auto& [organisation, share] : this->held) {
         const auto after = this->attemptedShares.find(organisation);
-        const uint32_t kept = after == this->attemptedShares.end() || this->stopping ? 0 : after->second;
+        const uint32_t kept = after == this->attemptedShares.end() ? 0 : std::min(share, after->second);
         lowered = lowered || kept < share;
-        share = std::min(share, kept);
+        share = kept;
     }
     if (lowered)
         effects.emplace_back(ApplyShares { this->held, this->expiry });
@@ -139,8 +129,7 @@
         this->busy = false;
         this->conflictDelay = std::clamp(
             2 * this->conflictDelay, this->settings.conflictPause, this->settings.longestConflictPause);
-        this->notBefore = now + this->randomPart(this->conflictDelay);
-        return this->wakeAt(this->notBefore);
+        return { SetShareTimer { now + this->randomPart(this->conflictDelay) } };
     }
     if (status != TableStatus::Done) {
         // A lost answer leaves the content unknown.
@@ -154,16 +143,13 @@
     this->held = this->attemptedShares;
     this->expiry = this->attemptedExpiry;
     this->failureDelay = {};
-    this->busy = false;
-    ++this->exchanges;
     this->conflictDelay = {};
-    this->notBefore = now + this->settings.exchangePause;
+    this->busy = false;
+    const Duration interval = ++this->exchanges < this->settings.earlyExchanges ? this->settings.earlyInterval
+                                                                                : this->settings.renewInterval;
     // The random part keeps VMs that started together from renewing together.
-    const Duration interval = this->exchanges == 1 ? this->settings.secondExchange : this->settings.renewInterval;
-    this->nextRenewal = std::exchange(this->askedAgain, false) ? this->notBefore
-                                                              : now + interval + this->randomPart(interval / 4);
-    return { ApplyShares { this->held, this->expiry },
-        FleetSizeKnown { static_cast<uint32_t>(this->ledger->holderCount()) }, SetShareTimer { this->nextRenewal } };
+    return { ApplyShares { this->held, this->expiry }, FleetKnown { this->ledger->peers() },
+        SetShareTimer { now + interval + this->randomPart(interval / 4) } };
 }
 
 std::vector<ShareEffect> ShareKeeper::failed(Instant now)
@@ -171,15 +157,14 @@
     this->busy = false;
     this->failureDelay = std::clamp(
         2 * this->failureDelay, this->settings.failurePause, this->settings.longestFailurePause);
-    this->notBefore = now + this->failureDelay;
-    return this->wakeAt(this->notBefore);
+    return { SetShareTimer { now + this->failureDelay + this->randomPart(this->settings.failurePause) } };
 }
 
 std::vector<ShareEffect> ShareKeeper::stop(Instant now)
 {
     this->stopping = true;
     if (this->busy || !this->ledger)
-        return { SharesLeft {} }; // the next run of this VM frees the shares
+        return { SharesLeft {} }; // the next run of this VM takes the shares over
     return this->write(now);
 }
 
--- a/src/Limits/ShareKeeper.h
+++ b/src/Limits/ShareKeeper.h
@@ -15,26 +15,25 @@
 
 struct ShareKeeperSettings {
     ShareLedger::Settings ledger;
-    /// Interval of renewals; a third of the lifetime lets two renewals fail.
-    Duration renewInterval = std::chrono::seconds(20);
-    /// Second exchange after the start, to learn of VMs that started at the same time.
-    Duration secondExchange = std::chrono::seconds(3);
     /// Upper bound of the random pause before the first exchange. VMs often start together.
-    Duration startSpread = std::chrono::milliseconds(500);
-    /// Least time between two exchanges that were both successful.
-    Duration exchangePause = std::chrono::milliseconds(150);
+    Duration startSpread = std::chrono::milliseconds(400);
+    /// The second and third exchange, to learn of VMs that started at the same time and to divide evenly with them.
+    Duration earlyInterval = std::chrono::seconds(3);
+    uint32_t earlyExchanges = 3;
+    /// Interval of later exchanges, which follow the demand.
+    Duration renewInterval = std::chrono::seconds(15);
     /// First and longest pause after an exchange that failed.
     Duration failurePause = std::chrono::milliseconds(100);
-    Duration longestFailurePause = std::chrono::milliseconds(1000);
+    Duration longestFailurePause = std::chrono::milliseconds(2000);
     /// Upper bound of the random pause after another VM has changed the ledger first; it doubles with each time in a
     /// row up to the longest. An exchange takes about 10 ms.
     Duration conflictPause = std::chrono::milliseconds(20);
     Duration longestConflictPause = std::chrono::milliseconds(320);
 };
 
-/// Shares that traffic wants, in answer to AskTraffic or by itself.
-struct SharesWanted {
-    ShareLedger::Shares shares;
+/// Demand of this VM's callers, in answer to AskDemands.
+struct DemandsMeasured {
+    ShareLedger::Demands demands;
 };
 
 struct LedgerRead {
@@ -52,7 +51,10 @@
 struct ShareStopRequested {
 };
 
-using ShareEvent = std::variant<SharesWanted, LedgerRead, LedgerWritten, ShareTimerFired, ShareStopRequested>;
+using ShareEvent = std::variant<DemandsMeasured, LedgerRead, LedgerWritten, ShareTimerFired, ShareStopRequested>;
+
+struct AskDemands {
+};
 
 struct ReadLedger {
 };
@@ -67,17 +69,13 @@
     Instant expiry;
 };
 
-/// Traffic is asked which shares it wants.
-struct AskTraffic {
-};
-
 struct SetShareTimer {
     Instant when;
 };
 
-/// Number of VMs that hold shares.
-struct FleetSizeKnown {
-    uint32_t vms = 1;
+/// VMs that hold shares, this one included.
+struct FleetKnown {
+    std::vector<PeerAddress> vms;
 };
 
 /// The shares have been given back, or could not be.
@@ -85,7 +83,7 @@
 };
 
 using ShareEffect
-    = std::variant<ReadLedger, WriteLedger, ApplyShares, AskTraffic, SetShareTimer, FleetSizeKnown, SharesLeft>;
+    = std::variant<AskDemands, ReadLedger, WriteLedger, ApplyShares, SetShareTimer, FleetKnown, SharesLeft>;
 
 /// Obtains, renews and adapts this VM's shares of limits through the ledger row. Holds no clock and makes no calls.
 class ShareKeeper {
@@ -101,14 +99,13 @@
 private:
     using Effects = std::vector<ShareEffect>;
 
-    Effects wanted(const SharesWanted&, Instant now);
+    Effects measured(const DemandsMeasured&, Instant now);
     Effects read(const LedgerRead&, Instant now);
     Effects written(const LedgerWritten&, Instant now);
     Effects timerFired(Instant now);
     Effects stop(Instant now);
     Effects write(Instant now);
     Effects failed(Instant now);
-    Effects wakeAt(Instant when);
     bool accept(const TableReply&);
     Duration randomPart(Duration bound);
 
@@ -123,13 +120,10 @@
     ShareLedger::Shares attemptedShares;
     ShareLedger::Shares held;
     Instant expiry {};
-    ShareLedger::Shares desired;
+    ShareLedger::Demands demands;
     bool busy = false; ///< a call is under way or traffic has been asked
-    bool askedAgain = false; ///< a larger share was wanted while a call was under way
     bool stopping = false;
     uint32_t exchanges = 0;
-    Instant notBefore {};
-    Instant nextRenewal {};
     Duration failureDelay {};
     Duration conflictDelay {};
 };
--- a/src/Limits/ShareLedger.cpp
+++ b/src/Limits/ShareLedger.cpp
@@ -1,31 +1,32 @@
 #include "Limits/ShareLedger.h"
 
 #include "Core/Error.h"
-#include "Limits/WindowLimits.h"
+#include "Limits/LimitShares.h"
 
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
-#include <utility>
 
 namespace Lavendervane {
 
 using Json = nlohmann::json;
 
-static Json toJson(const ShareLedger::Shares& shares)
+template <typename Number> static Json toJson(const std::map<OrganisationId, Number>& values)
 {
     Json json = Json::object();
-    for (const auto& [organisation, parts] : shares)
-        json[organisation.str()] = parts;
+    for (const auto& [organisation, value] : values) {
+        if (value)
+            json[organisation.str()] = value;
+    }
     return json;
 }
 
-static ShareLedger::Shares parseShares(const Json& json)
+template <typename Number> static std::map<OrganisationId, Number> parseValues(const Json& json)
 {
-    ShareLedger::Shares shares;
-    for (const auto& [organisation, parts] : json.items())
-        shares.emplace(organisation, parts.get<uint32_t>());
-    return shares;
+    std::map<OrganisationId, Number> values;
+    for (const auto& [organisation, value] : json.items())
+        values.emplace(organisation, value.template get<Number>());
+    return values;
 }
 
 ShareLedger ShareLedger::parse(std::string_view text)
@@ -34,12 +35,15 @@
         const Json json = Json::parse(text);
         ShareLedger ledger;
         for (const auto& [vm, entry] : json.at("holders").items()) {
-            ledger.entries.emplace(vm,
-                Entry { entry.at("run").get<std::string>(), entry.at("until").get<uint64_t>(),
-                    parseShares(entry.at("shares")) });
+            Entry parsed;
+            parsed.run = entry.at("run").get<std::string>();
+            parsed.dataCentre = DataCentre(entry.at("data_centre").get<std::string>());
+            parsed.address = entry.at("address").get<std::string>();
+            parsed.untilMs = entry.at("until").get<uint64_t>();
+            parsed.shares = parseValues<uint32_t>(entry.at("shares"));
+            parsed.demands = parseValues<uint64_t>(entry.at("demands"));
+            ledger.entries.emplace(vm, std::move(parsed));
         }
-        for (const Json& entry : json.at("cooling"))
-            ledger.cooling.push_back({ entry.at("until").get<uint64_t>(), parseShares(entry.at("shares")) });
         return ledger;
     } catch (const Json::exception& error) {
         throw Error("parse share ledger", "", error.what());
@@ -49,83 +53,84 @@
 std::string ShareLedger::serialise() const
 {
     Json holders = Json::object();
-    for (const auto& [vm, entry] : this->entries)
-        holders[vm.str()] = { { "run", entry.run }, { "until", entry.untilMs }, { "shares", toJson(entry.shares) } };
-    Json ended = Json::array();
-    for (const Cooling& entry : this->cooling)
-        ended.push_back({ { "until", entry.untilMs }, { "shares", toJson(entry.shares) } });
-    return Json { { "holders", std::move(holders) }, { "cooling", std::move(ended) } }.dump();
+    for (const auto& [vm, entry] : this->entries) {
+        holders[vm.str()] = { { "run", entry.run }, { "data_centre", entry.dataCentre.str() },
+            { "address", entry.address }, { "until", entry.untilMs }, { "shares", toJson(entry.shares) },
+            { "demands", toJson(entry.demands) } };
+    }
+    return Json { { "holders", std::move(holders) } }.dump();
 }
 
 uint64_t ShareLedger::taken(const OrganisationId& organisation) const
 {
     uint64_t sum = 0;
-    const auto add = [&sum, &organisation](const Shares& shares) {
-        if (const auto share = shares.find(organisation); share != shares.end())
+    for (const auto& [vm, entry] : this->entries) {
+        if (const auto share = entry.shares.find(organisation); share != entry.shares.end())
             sum += share->second;
-    };
-    for (const auto& [vm, entry] : this->entries)
-        add(entry.shares);
-    for (const Cooling& entry : this->cooling)
-        add(entry.shares);
+    }
     return sum;
 }
 
-void ShareLedger::cool(Shares shares, uint64_t untilMs)
-{
-    std::erase_if(shares, [](const auto& share) { return share.second == 0; });
-    if (!shares.empty())
-        this->cooling.push_back({ untilMs, std::move(shares) });
-}
-
-void ShareLedger::expire(uint64_t nowMs, const Settings& settings)
+// Part of the VM if all VMs had what is theirs.
+uint32_t ShareLedger::targetOf(const VmId& vm, const OrganisationId& organisation, const Settings& settings) const
 {
-    std::erase_if(this->cooling, [nowMs](const Cooling& entry) { return entry.untilMs <= nowMs; });
-    std::erase_if(this->entries, [nowMs, &settings](const auto& entry) {
-        return entry.second.untilMs + settings.windowMs + settings.slackMs <= nowMs;
-    });
+    uint64_t own = 0;
+    uint64_t all = 0;
+    for (const auto& [other, entry] : this->entries) {
+        const auto demand = entry.demands.find(organisation);
+        if (demand == entry.demands.end())
+            continue;
+        all += demand->second;
+        if (other == vm)
+            own = demand->second;
+    }
+    const uint64_t vms = this->entries.size();
+    if (!all)
+        return static_cast<uint32_t>(wholeShare / std::max<uint64_t>(vms, 1));
+    const uint64_t even = static_cast<uint64_t>(wholeShare) * settings.evenPercent / 100;
+    return static_cast<uint32_t>(even / vms + (wholeShare - even) * own / all);
 }
 
 ShareLedger::Shares ShareLedger::renew(
-    const Holder& holder, const Shares& wanted, uint64_t nowMs, const Settings& settings)
+    const Holder& holder, const Demands& demands, uint64_t nowMs, const Settings& settings)
 {
-    this->expire(nowMs, settings);
-    const uint64_t freeAgain = nowMs + settings.windowMs + settings.slackMs;
-    Entry& entry = this->entries[holder.vm];
-    const bool newcomer = entry.run != holder.run;
-    if (newcomer) {
-        this->cool(std::exchange(entry.shares, {}), freeAgain);
-        entry.run = holder.run;
-    }
+    std::erase_if(this->entries,
+        [nowMs, &settings](const auto& entry) { return entry.second.untilMs + settings.slackMs <= nowMs; });
+    const auto known = this->entries.find(holder.peer.vm);
+    const bool newcomer = known == this->entries.end();
+    Entry& entry = this->entries[holder.peer.vm];
+    entry.run = holder.run;
+    entry.dataCentre = holder.peer.dataCentre;
+    entry.address = holder.peer.address;
     entry.untilMs = nowMs + settings.lifetimeMs;
-    Shares returned;
-    for (auto& [organisation, share] : entry.shares) {
-        const auto want = wanted.find(organisation);
-        const uint32_t keep = want == wanted.end() ? 0 : std::min(share, want->second);
-        if (keep < share)
-            returned.emplace(organisation, share - keep);
-        share = keep;
-    }
-    this->cool(std::move(returned), freeAgain);
-    for (const auto& [organisation, want] : wanted) {
+    entry.demands = demands;
+    std::erase_if(
+        entry.shares, [&demands](const auto& share) { return demands.find(share.first) == demands.end(); });
+    for (const auto& [organisation, demand] : demands) {
         uint32_t& share = entry.shares[organisation];
-        const uint64_t taken = this->taken(organisation);
-        const uint64_t unused = taken < wholeShare ? wholeShare - taken : 0;
-        const uint64_t free = newcomer ? unused / settings.newcomerDivisor : unused;
-        if (share < want)
-            share += static_cast<uint32_t>(std::min<uint64_t>(want - share, free));
+        uint32_t target = this->targetOf(holder.peer.vm, organisation, settings);
+        if (newcomer)
+            target = std::min(target, wholeShare / settings.assumedVms);
+        const uint64_t others = this->taken(organisation) - share;
+        const uint64_t free = others < wholeShare ? wholeShare - others : 0;
+        share = static_cast<uint32_t>(std::min<uint64_t>(target, free));
     }
     return entry.shares;
 }
 
-void ShareLedger::leave(const Holder& holder, uint64_t nowMs, const Settings& settings)
+void ShareLedger::leave(const Holder& holder)
 {
-    this->expire(nowMs, settings);
-    const auto found = this->entries.find(holder.vm);
-    if (found == this->entries.end() || found->second.run != holder.run)
-        return;
-    this->cool(std::move(found->second.shares), nowMs + settings.windowMs + settings.slackMs);
-    this->entries.erase(found);
+    const auto found = this->entries.find(holder.peer.vm);
+    if (found != this->entries.end() && found->second.run == holder.run)
+        this->entries.erase(found);
+}
+
+std::vector<PeerAddress> ShareLedger::peers() const
+{
+    std::vector<PeerAddress> all;
+    for (const auto& [vm, entry] : this->entries)
+        all.push_back({ vm, entry.dataCentre, entry.address });
+    return all;
 }
 
 } // namespace Lavendervane
--- /dev/null
+++ b/src/Peers/DatagramPeers.cpp
@@ -0,0 +1,84 @@
+#include "Peers/DatagramPeers.h"
+
+#include "Core/Error.h"
+#include "Http/Address.h"
+
+#include <glog/logging.h>
+
+namespace Lavendervane {
+
+namespace asio = boost::asio;
+using asio::ip::udp;
+using boost::system::error_code;
+
+// Longest datagram that is not cut into fragments on common links.
+static constexpr size_t datagramLimit = 1400;
+// Datagrams read in a row before other work gets its turn.
+static constexpr int burstLimit = 32;
+
+static udp::endpoint toUdp(const std::string& address)
+{
+    const auto parsed = parseAddress(address);
+    return { parsed.address(), parsed.port() };
+}
+
+DatagramPeers::DatagramPeers(asio::io_context& context, const std::string& address)
+    : socket(context)
+{
+    try {
+        const udp::endpoint local = toUdp(address);
+        this->socket.open(local.protocol());
+        this->socket.bind(local);
+        this->socket.non_blocking(true);
+    } catch (const boost::system::system_error& error) {
+        throw Error("listen for peers", address, error.what());
+    }
+    this->receive();
+}
+
+void DatagramPeers::setListener(PeerListener* target) { this->listener = target; }
+
+void DatagramPeers::send(const std::string& address, const PeerMessage& message)
+{
+    error_code error;
+    this->socket.send_to(asio::buffer(encodePeerMessage(message)), toUdp(address), 0, error);
+    if (error) {
+        LOG_EVERY_N(WARNING, 100) << "send to peer " << address << ": " << error.message();
+    }
+}
+
+void DatagramPeers::receive()
+{
+    this->socket.async_wait(udp::socket::wait_read, [this](const error_code& error) {
+        if (error)
+            return;
+        this->readAll();
+        this->receive();
+    });
+}
+
+void DatagramPeers::readAll()
+{
+    std::array<char, datagramLimit> bytes {};
+    for (int count = 0; count < burstLimit; ++count) {
+        udp::endpoint sender;
+        error_code error;
+        const size_t length = this->socket.receive_from(asio::buffer(bytes), sender, 0, error);
+        if (error == asio::error::would_block)
+            return;
+        if (error) {
+            // An earlier datagram met a closed port; the next ones are not affected.
+            LOG_EVERY_N(WARNING, 1000) << "receive from peers: " << error.message();
+            continue;
+        }
+        const auto message = decodePeerMessage({ bytes.data(), length });
+        if (!message) {
+            LOG_EVERY_N(WARNING, 100) << "unknown message of peer " << sender;
+            continue;
+        }
+        if (this->listener)
+            this->listener->peerMessage(formatAddress({ sender.address(), sender.port() }), *message);
+    }
+}
+
+} // namespace Lavendervane
--- /dev/null
+++ b/src/Peers/DatagramPeers.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "Peers/PeerTransport.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/udp.hpp>
+
+#include <array>
+#include <string>
+
+namespace Lavendervane {
+
+/// Messages between VMs as UDP datagrams. One exchange is two datagrams and no connection, so any VM can ask any other
+/// at little cost.
+class DatagramPeers : public PeerTransport {
+public:
+    /// Throws Error (step "listen for peers").
+    DatagramPeers(boost::asio::io_context&, const std::string& address);
+
+    void send(const std::string& address, const PeerMessage&) override;
+    void setListener(PeerListener*) override;
+
+private:
+    void receive();
+    void readAll();
+
+    boost::asio::ip::udp::socket socket;
+    PeerListener* listener = nullptr;
+};
+
+} // namespace Lavendervane
--- /dev/null
+++ b/src/Peers/PeerMessages.cpp
@@ -0,0 +1,89 @@
+#include "Peers/PeerMessages.h"
+
+#include <nlohmann/json.hpp>
+
+namespace Lavendervane {
+
+using Json = nlohmann::json;
+
+// A message is an array: its kind, then its fields in order. The kinds are part of the protocol and keep their numbers.
+namespace {
+
+enum Kind : uint64_t {
+    TokenRequestKind = 1,
+    TokenReplyKind = 2,
+    ReachabilityRequestKind = 3,
+    ReachabilityReplyKind = 4,
+    PromotionNoticeKind = 5,
+};
+
+struct Encoder {
+    Json operator()(const TokenRequest& message) const
+    {
+        return { TokenRequestKind, message.number, message.organisation.str(), message.wanted };
+    }
+    Json operator()(const TokenReply& message) const
+    {
+        return { TokenReplyKind, message.number, message.organisation.str(), message.lent };
+    }
+    Json operator()(const ReachabilityRequest& message) const
+    {
+        return { ReachabilityRequestKind, message.number, message.group.str(), message.endpoint.str() };
+    }
+    Json operator()(const ReachabilityReply& message) const
+    {
+        return { ReachabilityReplyKind, message.number, message.endpoint.str(),
+            static_cast<uint64_t>(message.reachability) };
+    }
+    Json operator()(const PromotionNotice& message) const
+    {
+        return { PromotionNoticeKind, message.group.str(), message.endpoint.str(), message.expectedInMs };
+    }
+};
+
+} // namespace
+
+static std::string text(const Json& json, size_t index) { return json.at(index).get<std::string>(); }
+
+static uint64_t number(const Json& json, size_t index) { return json.at(index).get<uint64_t>(); }
+
+static std::optional<PeerMessage> decode(const Json& json)
+{
+    switch (number(json, 0)) {
+    case TokenRequestKind:
+        return TokenRequest { number(json, 1), OrganisationId(text(json, 2)), number(json, 3) };
+    case TokenReplyKind:
+        return TokenReply { number(json, 1), OrganisationId(text(json, 2)), number(json, 3) };
+    case ReachabilityRequestKind:
+        return ReachabilityRequest { number(json, 1), GroupId(text(json, 2)), EndpointId(text(json, 3)) };
+    case ReachabilityReplyKind: {
+        const uint64_t reachability = number(json, 3);
+        if (reachability > static_cast<uint64_t>(Reachability::Unreachable))
+            return std::nullopt;
+        return ReachabilityReply { number(json, 1), EndpointId(text(json, 2)),
+            static_cast<Reachability>(reachability) };
+    }
+    case PromotionNoticeKind:
+        return PromotionNotice { GroupId(text(json, 1)), EndpointId(text(json, 2)), number(json, 3) };
+    default:
+        return std::nullopt; // from a newer version of the program
+    }
+}
+
+std::string encodePeerMessage(const PeerMessage& message)
+{
+    std::string bytes;
+    Json::to_cbor(std::visit(Encoder {}, message), bytes);
+    return bytes;
+}
+
+std::optional<PeerMessage> decodePeerMessage(std::string_view bytes)
+{
+    try {
+        return decode(Json::from_cbor(bytes));
+    } catch (const Json::exception&) {
+        return std::nullopt; // the caller counts what cannot be read
+    }
+}
+
+} // namespace Lavendervane
--- a/src/Statements/CallerSession.cpp
+++ b/src/Statements/CallerSession.cpp
@@ -10,8 +10,6 @@
 
 // Endpoints that one operation asks at most; a group has three, and a change of primary may need each twice.
 static constexpr uint32_t maximumAttempts = 8;
-// Interval at which an operation looks again whether its organisation has got a larger share.
-static constexpr Duration admissionInterval = std::chrono::milliseconds(5);
 
 CallerSession::CallerSession(StatementService& service, CallerLink& link)
     : service(service)
@@ -175,7 +173,7 @@
     started.deadline = started.arrival + route->statementTimeout;
     started.statement = std::move(next);
     this->operation = std::move(started);
-    this->admit(this->currentArrival + this->service.settings().admissionWait);
+    this->admit();
 }
 
 void CallerSession::begin(const Statement& next)
@@ -201,34 +199,29 @@
     started.startsTransaction = true;
     started.statement = next;
     this->operation = std::move(started);
-    this->admit(this->currentArrival + this->service.settings().admissionWait);
+    this->admit();
 }
 
-void CallerSession::admit(Instant giveUp)
+void CallerSession::admit()
 {
-    Operation& running = *this->operation;
-    const Instant now = this->service.timers().now();
-    if (running.organisation.empty()) {
-        this->admitted();
-        return;
-    }
-    const bool taken = this->service.limits().tryTake(running.organisation, now);
-    if (this->service.limits().needsMore(now))
-        this->service.demands().sharesWanted();
-    if (taken) {
+    if (this->operation->organisation.empty()) {
         this->admitted();
         return;
     }
-    if (now >= giveUp || !this->service.limits().mayGrow(running.organisation, now)) {
-        this->finishOperation({ AnswerCode::TooMany, "", "rate limit; retry after 500 ms", TransactionState::Idle },
-            "the organisation's limit is used up");
-        return;
-    }
-    running.pause
-        = this->service.timers().schedule(std::min(now + admissionInterval, giveUp), [this, giveUp] {
-              this->operation->pause.reset();
-              this->admit(giveUp);
-          });
+    const uint64_t number = this->service.admission().admit(
+        this->operation->organisation, [self = this->shared_from_this()](bool taken) {
+            if (!self->operation)
+                return;
+            self->operation->admissionWait = 0;
+            if (taken)
+                self->admitted();
+            else
+                self->finishOperation({ AnswerCode::TooMany, "", "rate limit; retry after 500 ms" },
+                    "the organisation's limit is used up");
+        });
+    // Without a wait, the operation may be over and another one begun.
+    if (number && this->operation)
+        this->operation->admissionWait = number;
 }
 
 void CallerSession::admitted()
@@ -424,7 +417,7 @@
         }
         // The read may have run, and one more run counts against the organisation's limit.
         if (!running.organisation.empty())
-            this->service.limits().countRepeat(running.organisation, this->service.timers().now());
+            this->service.shares().countRepeat(running.organisation, this->service.timers().now());
         running.tried.push_back(running.pool->endpoint().id);
         this->tryAgain(AnswerCode::Busy, "the connection broke", {});
         return;
@@ -515,6 +508,8 @@
     this->operation.reset();
     if (ended.pause)
         this->service.timers().cancel(*ended.pause);
+    if (ended.admissionWait)
+        this->service.admission().cancel(ended.admissionWait);
     if (ended.wait && ended.pool)
         ended.pool->cancel(ended.wait);
     if (ended.roleWait) {
--- a/src/Statements/CallerSession.h
+++ b/src/Statements/CallerSession.h
@@ -58,6 +58,7 @@
         uint64_t wait = 0; ///< in the pool
         std::optional<Timers::Handle> pause;
         uint64_t roleWait = 0; ///< in the group
+        uint64_t admissionWait = 0;
     };
 
     struct Transaction {
@@ -86,7 +87,7 @@
 
     // Outside a transaction.
     void runSingle(Statement);
-    void admit(Instant giveUp);
+    void admit();
     void admitted();
 
     // Attempts of the current operation.
--- a/src/Statements/StatementService.cpp
+++ b/src/Statements/StatementService.cpp
@@ -1,5 +1,6 @@
 #include "Statements/StatementService.h"
 
+#include "Core/Rendezvous.h"
 #include "Statements/CallerSession.h"
 
 #include <algorithm>
@@ -9,17 +10,20 @@
 namespace Lavendervane {
 
 StatementService::StatementService(StatementServiceSettings settings, Timers& timers, EndpointConnector& connector,
-    TrafficDemands& demands, TrafficLog& log)
+    PeerTransport& transport, TrafficDemands& demands, TrafficLog& log)
     : options(std::move(settings))
     , clock(timers)
     , connector(connector)
+    , peers(transport)
     , control(demands)
     , events(log)
-    , admission(this->options.limits)
+    , admissions(this->limitShares, timers, transport, this->options.vm, this->options.dataCentre,
+          this->options.admission, stableHash(this->options.vm.str()))
 {
+    transport.setListener(this);
 }
 
-StatementService::~StatementService() = default;
+StatementService::~StatementService() { this->peers.setListener(nullptr); }
 
 std::shared_ptr<CallerHandler> StatementService::makeHandler(CallerLink& link)
 {
@@ -28,21 +32,24 @@
     return session;
 }
 
-// Requests that all VMs may admit in one window.
-static uint32_t windowBudget(const RateLimit& limit, const StatementServiceSettings& settings)
+// Limit of all VMs together as a token bucket. What a window may hold beyond the stated limit goes into the rate, because
+// the burst is the operators' statement of how much may come at once.
+static Capacity capacityOf(const RateLimit& limit, const StatementServiceSettings& settings)
 {
-    const double seconds = std::chrono::duration<double>(settings.limits.window).count();
+    const double seconds = std::chrono::duration<double>(settings.limitWindow).count();
     const double stated = limit.burst + limit.rate * seconds;
-    return static_cast<uint32_t>(stated * (1 + settings.limitTolerance / 2) + settings.limitSlack / 2.0);
+    const double beyond = stated * settings.limitTolerance / 2 + settings.limitSlack / 2.0;
+    const double rate = limit.rate + beyond / seconds;
+    return { static_cast<uint64_t>(rate * static_cast<double>(oneRequest)), limit.burst * oneRequest };
 }
 
 void StatementService::setDirectory(std::shared_ptr<const Directory> directory)
 {
     this->current = std::move(directory);
-    std::map<OrganisationId, uint32_t> budgets;
+    std::map<OrganisationId, Capacity> limits;
     for (const SessionOrganisation& organisation : this->current->configuration().organisations)
-        budgets.emplace(organisation.name, windowBudget(organisation.limit, this->options));
-    this->admission.setBudgets(budgets);
+        limits.emplace(organisation.name, capacityOf(organisation.limit, this->options));
+    this->limitShares.setLimits(limits, this->clock.now());
 
     std::map<GroupId, std::vector<RegisteredEndpoint>> members;
     this->groupOf.clear();
@@ -102,6 +109,14 @@
 
 void StatementService::sessionEnded(CallerSession& session) { this->sessions.erase(&session); }
 
+void StatementService::peerMessage(const std::string& sender, const PeerMessage& message)
+{
+    if (const auto* request = std::get_if<TokenRequest>(&message))
+        this->admissions.tokensRequested(sender, *request);
+    else if (const auto* reply = std::get_if<TokenReply>(&message))
+        this->admissions.tokensReceived(sender, *reply);
+}
+
 void StatementService::endpointReachable(const EndpointId& endpoint, bool reachable)
 {
     this->events.endpointChanged(endpoint, reachable ? "reachable" : "unreachable");
--- a/src/Statements/StatementService.h
+++ b/src/Statements/StatementService.h
@@ -1,10 +1,12 @@
 #pragma once
 
 #include "Fleet/Directory.h"
-#include "Limits/WindowLimits.h"
+#include "Limits/LimitShares.h"
+#include "Peers/PeerTransport.h"
 #include "Runtime/Timers.h"
 #include "Statements/CallerLink.h"
 #include "Statements/GroupTraffic.h"
+#include "Statements/RequestAdmission.h"
 #include "Statements/SessionValues.h"
 #include "Statements/TrafficLog.h"
 
@@ -20,11 +22,11 @@
 
 struct StatementServiceSettings {
     DataCentre dataCentre;
-    /// Longest wait of an operation for a larger share of its organisation's limit. The table answers within a few
-    /// milliseconds; a caller is better served by a short wait than by a refusal.
-    Duration admissionWait = std::chrono::milliseconds(60);
-    /// Window, and what a window may hold beyond the limit. Half of the tolerance is left for the rounding of times.
-    WindowLimitSettings limits;
+    VmId vm;
+    RequestAdmissionSettings admission;
+    /// Window in which the platform's users count requests, and what a window may hold beyond the limit. Half of the
+    /// tolerance is left for the time between admission and arrival at an endpoint.
+    Duration limitWindow = std::chrono::seconds(5);
     double limitTolerance = 0; ///< part of the limit
     uint32_t limitSlack = 0; ///< requests
     /// Connections of an endpoint that VMs leave unused in total, for VMs that have just started.
@@ -40,17 +42,14 @@
 public:
     virtual ~TrafficDemands() = default;
 
-    /// Some organisation needs a larger share.
-    virtual void sharesWanted() = 0;
-
     /// An endpoint became reachable or unreachable from this VM.
     virtual void endpointReachable(const GroupId&, const EndpointId&, bool reachable) = 0;
 };
 
 /// Sessions, groups and limits of one traffic thread. All calls must be made on that thread.
-class StatementService : public CallerHandlerFactory, private EndpointObserver {
+class StatementService : public CallerHandlerFactory, public PeerListener, private EndpointObserver {
 public:
-    StatementService(StatementServiceSettings, Timers&, EndpointConnector&, TrafficDemands&, TrafficLog&);
+    StatementService(StatementServiceSettings, Timers&, EndpointConnector&, PeerTransport&, TrafficDemands&, TrafficLog&);
     ~StatementService() override;
 
     StatementService(const StatementService&) = delete;
@@ -63,7 +62,8 @@
     /// Null before the first directory.
     const Directory* directory() const { return this->current.get(); }
 
-    WindowLimits& limits() { return this->admission; }
+    LimitShares& shares() { return this->limitShares; }
+    RequestAdmission& admission() { return this->admissions; }
     Timers& timers() { return this->clock; }
     TrafficDemands& demands() { return this->control; }
     TrafficLog& log() { return this->events; }
@@ -87,15 +87,19 @@
 
     void sessionEnded(CallerSession&);
 
+    void peerMessage(const std::string& sender, const PeerMessage&) override;
+
 private:
     void endpointReachable(const EndpointId&, bool reachable) override;
 
     StatementServiceSettings options;
     Timers& clock;
     EndpointConnector& connector;
+    PeerTransport& peers;
     TrafficDemands& control;
     TrafficLog& events;
-    WindowLimits admission;
+    LimitShares limitShares;
+    RequestAdmission admissions;
     PreparedNumbers numbers;
     std::shared_ptr<const Directory> current;
     std::map<GroupId, std::unique_ptr<GroupTraffic>> groups;
