Promote replicas of unreachable and leaving primaries

Change: src/Promotion holds the decision: evidence of this VM, opinions of others by datagram, a claim row whose revision is the fencing token, the replica that is furthest ahead, STEPDOWN and catch-up before a planned promotion. A registry in which the old primary has stepped down no longer starts a second order.

--- a/src/Fleet/EntryDaemon.cpp
+++ b/src/Fleet/EntryDaemon.cpp
@@ -99,11 +99,12 @@
         , trafficTimers(this->trafficContext)
         , table(parts.makeTable(this->controlContext))
         , feed(parts.makeDirectoryFeed(this->controlContext))
+        , orders(parts.makePromotionOrders(this->controlContext))
         , connector(parts.makeConnector(this->trafficContext))
         , peers(this->trafficContext, this->settings.peerAddress)
         , service(serviceSettings(this->settings), this->trafficTimers, *this->connector, this->peers, *this,
               this->requestLog)
-        , control(controlSettings(this->settings), this->controlTimers, *this->table, *this, this->log)
+        , control(controlSettings(this->settings), this->controlTimers, *this->table, *this->orders, *this, this->log)
         , listener(parts.makeCallerListener(this->trafficContext, this->service))
         , signals(this->controlContext, SIGTERM, SIGINT, SIGHUP)
     {
@@ -151,7 +152,7 @@
     void setPeers(std::vector<PeerAddress> peers) override
     {
         asio::post(this->trafficContext,
-            [this, peers = std::move(peers)] { this->service.admission().setPeers(peers); });
+            [this, peers = std::move(peers)] { this->service.setPeers(peers); });
     }
 
     void askDemands(std::function<void(ShareLedger::Demands)> callback) override
@@ -163,9 +164,56 @@
         });
     }
 
+    void announcePromotion(const AnnouncePromotion& effect) override
+    {
+        asio::post(this->trafficContext, [this, effect] {
+            this->service.announcePromotion(effect.group, effect.endpoint, effect.expectedIn);
+        });
+    }
+
+    void askOpinions(const AskOpinions& effect, std::function<void(OpinionsCollected)> callback) override
+    {
+        asio::post(this->trafficContext, [this, effect, callback = std::move(callback)] {
+            this->service.askOpinions(
+                effect.group, effect.endpoint, [this, effect, callback](ReachabilityOpinions opinions) {
+                    this->postToControl(callback,
+                        OpinionsCollected { effect.group, effect.attempt, opinions.asked, opinions.reachable,
+                            opinions.unreachable });
+                });
+        });
+    }
+
+    void inspect(const InspectEndpoints& effect, std::function<void(EndpointsInspected)> callback) override
+    {
+        asio::post(this->trafficContext, [this, effect, callback = std::move(callback)] {
+            this->service.inspect(effect.group, effect.endpoints, [this, effect, callback](auto statuses) {
+                this->postToControl(callback, EndpointsInspected { effect.group, effect.attempt, std::move(statuses) });
+            });
+        });
+    }
+
+    void stepDown(const StepDownPrimary& effect, std::function<void(SteppedDown)> callback) override
+    {
+        asio::post(this->trafficContext, [this, effect, callback = std::move(callback)] {
+            this->service.stepDown(effect.group, effect.endpoint, effect.term, [this, effect, callback](auto status) {
+                this->postToControl(callback, SteppedDown { effect.group, effect.attempt, status });
+            });
+        });
+    }
+
     // TrafficDemands, called on the traffic thread
 
-    void endpointReachable(const GroupId&, const EndpointId&, bool) override { }
+    void endpointReachable(const GroupId& group, const EndpointId& endpoint, bool reachable) override
+    {
+        asio::post(this->controlContext, [this, event = EndpointReachability { group, endpoint, reachable }] {
+            this->control.promotionEvent(event);
+        });
+    }
+
+    void promotionNoticed(const GroupId& group) override
+    {
+        asio::post(this->controlContext, [this, group] { this->control.promotionEvent(PromotionNoticed { group }); });
+    }
 
 private:
     static StatementServiceSettings serviceSettings(const EntrySettings& settings)
@@ -188,6 +236,11 @@
         return control;
     }
 
+    template <typename Callback, typename Event> void postToControl(const Callback& callback, Event event)
+    {
+        asio::post(this->controlContext, [callback, event = std::move(event)]() mutable { callback(std::move(event)); });
+    }
+
     void waitForSignal()
     {
         this->signals.async_wait([this](const boost::system::error_code& error, int signal) {
@@ -260,6 +313,7 @@
     AsioTimers trafficTimers;
     std::unique_ptr<TableStore> table;
     std::unique_ptr<DirectoryFeed> feed;
+    std::unique_ptr<PromotionOrders> orders;
     std::unique_ptr<EndpointConnector> connector;
     DatagramPeers peers;
     StatementService service;
--- a/src/Fleet/EntryDaemon.h
+++ b/src/Fleet/EntryDaemon.h
@@ -3,6 +3,7 @@
 #include "Core/Identifiers.h"
 #include "Fleet/DirectoryFeed.h"
 #include "Fleet/TableStore.h"
+#include "Promotion/PromotionMessages.h"
 #include "Statements/CallerLink.h"
 #include "Statements/EndpointLink.h"
 
@@ -33,6 +34,8 @@
 
     /// Called after makeTable; the feed may use the table, which outlives it.
     virtual std::unique_ptr<DirectoryFeed> makeDirectoryFeed(boost::asio::io_context& control) = 0;
+
+    virtual std::unique_ptr<PromotionOrders> makePromotionOrders(boost::asio::io_context& control) = 0;
 };
 
 struct EntrySettings {
--- a/src/Fleet/FleetControl.cpp
+++ b/src/Fleet/FleetControl.cpp
@@ -10,14 +10,16 @@
 // Bytes of the key under which this process digests callers' keys.
 static constexpr size_t digestKeyBytes = 32;
 
-FleetControl::FleetControl(
-    FleetControlSettings settings, Timers& timers, TableStore& table, TrafficPort& traffic, StructuredLog& log)
+FleetControl::FleetControl(FleetControlSettings settings, Timers& timers, TableStore& table, PromotionOrders& orders,
+    TrafficPort& traffic, StructuredLog& log)
     : settings(std::move(settings))
     , timers(timers)
     , table(table)
+    , orders(orders)
     , traffic(traffic)
     , log(log)
     , keeper({ this->settings.self, this->settings.run }, this->settings.shares, this->settings.seed)
+    , promotions(this->settings.self.vm, this->settings.run, this->settings.promotion)
     , digestKey(randomBytes(digestKeyBytes))
     , alive(std::make_shared<int>(0))
 {
@@ -133,6 +135,12 @@
     std::vector<RegisteredEndpoint> endpoints;
     for (const auto& [id, endpoint] : this->registry)
         endpoints.push_back(endpoint);
+    this->promotionEvent(RegistrySeen { endpoints });
+    // Traffic sees at most one primary in a group.
+    for (RegisteredEndpoint& endpoint : endpoints) {
+        if (endpoint.role == EndpointRole::Primary && this->promotions.primaryOf(endpoint.group) != endpoint.id)
+            endpoint.role = EndpointRole::Replica;
+    }
     this->traffic.setDirectory(std::make_shared<const Directory>(
         ++this->directoryNumber, this->configuration, std::move(endpoints), this->vmCount, this->digestKey));
 }
@@ -186,9 +194,59 @@
     }
 }
 
+void FleetControl::promotionEvent(const PromotionEvent& event)
+{
+    for (PromotionEffect& effect : this->promotions.handle(event, this->timers.now()))
+        this->carryOut(effect);
+}
+
+void FleetControl::carryOut(PromotionEffect& effect)
+{
+    const std::weak_ptr<int> here = this->alive;
+    const auto answer = [this, here](auto event) {
+        if (!here.expired())
+            this->promotionEvent(std::move(event));
+    };
+    if (const auto* ask = std::get_if<AskOpinions>(&effect)) {
+        this->traffic.askOpinions(*ask, answer);
+    } else if (const auto* read = std::get_if<ReadClaim>(&effect)) {
+        this->table.readRow(read->key, [answer, group = read->group, attempt = read->attempt](TableReply reply) {
+            answer(ClaimRead { group, attempt, std::move(reply) });
+        });
+    } else if (const auto* write = std::get_if<WriteClaim>(&effect)) {
+        this->table.transact(
+            write->transaction, [answer, group = write->group, attempt = write->attempt](TableReply reply) {
+                answer(ClaimWritten { group, attempt, std::move(reply) });
+            });
+    } else if (const auto* inspect = std::get_if<InspectEndpoints>(&effect)) {
+        this->traffic.inspect(*inspect, answer);
+    } else if (const auto* stepDown = std::get_if<StepDownPrimary>(&effect)) {
+        this->traffic.stepDown(*stepDown, answer);
+    } else if (const auto* order = std::get_if<OrderPromotion>(&effect)) {
+        this->orders.promote(order->group, order->endpoint, this->settings.self.vm, order->token,
+            [this, answer, group = order->group, attempt = order->attempt](OrderStatus status) {
+                this->log.write("promotion_answered",
+                    { { "group", group.str() }, { "status", std::to_string(static_cast<int>(status)) } });
+                answer(OrderAnswered { group, attempt, status });
+            });
+    } else if (const auto* announce = std::get_if<AnnouncePromotion>(&effect)) {
+        this->traffic.announcePromotion(*announce);
+    } else if (const auto* timer = std::get_if<SetPromotionTimer>(&effect)) {
+        this->timers.schedule(timer->when, [answer, group = timer->group, attempt = timer->attempt] {
+            answer(PromotionTimer { group, attempt });
+        });
+    } else if (const auto* line = std::get_if<LogPromotion>(&effect)) {
+        this->log.write(line->step, { { "group", line->group.str() }, { "detail", line->detail } });
+    }
+}
+
 void FleetControl::fleetKnown(const std::vector<PeerAddress>& vms)
 {
     this->traffic.setPeers(vms);
+    FleetSeen seen;
+    for (const PeerAddress& peer : vms)
+        seen.vms.push_back(peer.vm);
+    this->promotionEvent(seen);
     if (vms.size() == this->vmCount)
         return;
     this->vmCount = static_cast<uint32_t>(vms.size());
--- a/src/Fleet/FleetControl.h
+++ b/src/Fleet/FleetControl.h
@@ -4,6 +4,7 @@
 #include "Fleet/DirectoryFeed.h"
 #include "Fleet/TableStore.h"
 #include "Limits/ShareKeeper.h"
+#include "Promotion/PromotionKeeper.h"
 #include "Runtime/StructuredLog.h"
 #include "Runtime/Timers.h"
 
@@ -21,6 +22,7 @@
     std::string run; ///< differs in each run of the process
     uint64_t seed = 0;
     ShareKeeperSettings shares;
+    PromotionKeeperSettings promotion;
     /// An endpoint whose registration has lapsed counts as gone only after this time, because registrations that lapse
     /// while the store is away are back within two seconds of its return.
     Duration lapseGrace = std::chrono::milliseconds(2500);
@@ -35,15 +37,19 @@
     virtual void applyShares(const ShareLedger::Shares&, Instant expiry) = 0;
 
     virtual void setPeers(std::vector<PeerAddress>) = 0;
+    virtual void announcePromotion(const AnnouncePromotion&) = 0;
 
     /// Calls back on the control thread.
     virtual void askDemands(std::function<void(ShareLedger::Demands)>) = 0;
+    virtual void askOpinions(const AskOpinions&, std::function<void(OpinionsCollected)>) = 0;
+    virtual void inspect(const InspectEndpoints&, std::function<void(EndpointsInspected)>) = 0;
+    virtual void stepDown(const StepDownPrimary&, std::function<void(SteppedDown)>) = 0;
 };
 
 /// Control of one VM: configuration, registry, shares of limits. Runs on the control thread.
 class FleetControl : public DirectoryListener {
 public:
-    FleetControl(FleetControlSettings, Timers&, TableStore&, TrafficPort&, StructuredLog&);
+    FleetControl(FleetControlSettings, Timers&, TableStore&, PromotionOrders&, TrafficPort&, StructuredLog&);
     ~FleetControl() override;
 
     FleetControl(const FleetControl&) = delete;
@@ -58,6 +64,9 @@
     /// True once callers can be served: a configuration, a registry and shares are there.
     bool ready() const { return this->configuration && this->registryKnown && this->sharesKnown; }
 
+    /// News from traffic.
+    void promotionEvent(const PromotionEvent&);
+
     /// Gives shares back, then calls `done`.
     void stop(std::function<void()> done);
 
@@ -66,15 +75,18 @@
     void forgetLapsed();
     void fleetKnown(const std::vector<PeerAddress>&);
     void run(std::vector<ShareEffect>);
+    void carryOut(PromotionEffect&);
     void shareTimerFired();
     void setShareTimer(Instant when);
 
     FleetControlSettings settings;
     Timers& timers;
     TableStore& table;
+    PromotionOrders& orders;
     TrafficPort& traffic;
     StructuredLog& log;
     ShareKeeper keeper;
+    PromotionKeeper promotions;
     std::string digestKey;
     std::shared_ptr<const SessionConfiguration> configuration;
     std::map<EndpointId, RegisteredEndpoint> registry;
--- /dev/null
+++ b/src/Promotion/PromotionMessages.h
@@ -0,0 +1,172 @@
+#pragma once
+
+#include "Core/Identifiers.h"
+#include "Core/Instant.h"
+#include "Fleet/Directory.h"
+#include "Fleet/TableStore.h"
+#include "Statements/StatementAnswer.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace Lavendervane {
+
+// Events. `attempt` repeats the number of the effect that asked.
+
+/// Content of the registry.
+struct RegistrySeen {
+    std::vector<RegisteredEndpoint> endpoints;
+};
+
+/// VMs that share the work, this one included.
+struct FleetSeen {
+    std::vector<VmId> vms;
+};
+
+struct EndpointReachability {
+    GroupId group;
+    EndpointId endpoint;
+    bool reachable = true;
+};
+
+/// What other VMs said of the primary.
+struct OpinionsCollected {
+    GroupId group;
+    uint64_t attempt = 0;
+    uint32_t asked = 0;
+    uint32_t reachable = 0;
+    uint32_t unreachable = 0;
+};
+
+struct ClaimRead {
+    GroupId group;
+    uint64_t attempt = 0;
+    TableReply reply;
+};
+
+struct ClaimWritten {
+    GroupId group;
+    uint64_t attempt = 0;
+    TableReply reply;
+};
+
+/// Answers of endpoints to the question for their status; those that did not answer are missing.
+struct EndpointsInspected {
+    GroupId group;
+    uint64_t attempt = 0;
+    std::map<EndpointId, EndpointStatus> statuses;
+};
+
+struct SteppedDown {
+    GroupId group;
+    uint64_t attempt = 0;
+    std::optional<EndpointStatus> status; ///< empty if the primary did not answer
+};
+
+/// How an order to promote ended.
+enum class OrderStatus {
+    Accepted,
+    Refused, ///< a higher token has been used, or the endpoint does not run
+    NotCarriedOut, ///< the platform did not take the order
+    Unknown, ///< no answer; it may still be carried out
+};
+
+struct OrderAnswered {
+    GroupId group;
+    uint64_t attempt = 0;
+    OrderStatus status = OrderStatus::Unknown;
+};
+
+/// Another VM has ordered a promotion.
+struct PromotionNoticed {
+    GroupId group;
+};
+
+struct PromotionTimer {
+    GroupId group;
+    uint64_t attempt = 0;
+};
+
+using PromotionEvent = std::variant<RegistrySeen, FleetSeen, EndpointReachability, OpinionsCollected, ClaimRead,
+    ClaimWritten, EndpointsInspected, SteppedDown, OrderAnswered, PromotionNoticed, PromotionTimer>;
+
+// Effects.
+
+struct AskOpinions {
+    GroupId group;
+    uint64_t attempt = 0;
+    EndpointId endpoint;
+};
+
+struct ReadClaim {
+    GroupId group;
+    uint64_t attempt = 0;
+    std::string key;
+};
+
+struct WriteClaim {
+    GroupId group;
+    uint64_t attempt = 0;
+    TableTransaction transaction;
+};
+
+struct InspectEndpoints {
+    GroupId group;
+    uint64_t attempt = 0;
+    std::vector<EndpointId> endpoints;
+};
+
+struct StepDownPrimary {
+    GroupId group;
+    uint64_t attempt = 0;
+    EndpointId endpoint;
+    uint64_t term = 0;
+};
+
+struct OrderPromotion {
+    GroupId group;
+    uint64_t attempt = 0;
+    EndpointId endpoint;
+    uint64_t token = 0;
+};
+
+/// Traffic here and at other VMs may expect the new primary at this time.
+struct AnnouncePromotion {
+    GroupId group;
+    EndpointId endpoint;
+    Duration expectedIn {};
+};
+
+struct SetPromotionTimer {
+    GroupId group;
+    uint64_t attempt = 0;
+    Instant when;
+};
+
+/// Line for the log.
+struct LogPromotion {
+    GroupId group;
+    std::string step;
+    std::string detail;
+};
+
+using PromotionEffect = std::variant<AskOpinions, ReadClaim, WriteClaim, InspectEndpoints, StepDownPrimary,
+    OrderPromotion, AnnouncePromotion, SetPromotionTimer, LogPromotion>;
+
+/// Orders promotions at the platform.
+class PromotionOrders {
+public:
+    virtual ~PromotionOrders() = default;
+
+    /// `holder` and `token` identify who orders; the platform refuses a lower token than it has seen for the group.
+    virtual void promote(const GroupId&, const EndpointId&, const VmId& holder, uint64_t token,
+        std::function<void(OrderStatus)>)
+        = 0;
+};
+
+} // namespace Lavendervane
--- a/src/Statements/EndpointPool.cpp
+++ b/src/Statements/EndpointPool.cpp
@@ -122,7 +122,23 @@
     return expected;
 }
 
-void EndpointPool::recordTime(Duration time) { this->meanTime += (time - this->meanTime) / timeSmoothing; }
+void EndpointPool::recordTime(Duration time)
+{
+    this->heard = this->timers.now();
+    this->meanTime += (time - this->meanTime) / timeSmoothing;
+}
+
+void EndpointPool::probe()
+{
+    if (!this->retired && !this->openingCount())
+        this->startOpening(this->lastOrganisation);
+}
+
+void EndpointPool::suspect(Instant sent)
+{
+    if (this->heard <= sent)
+        this->probe();
+}
 
 void EndpointPool::recordPosition(const LogPosition& position)
 {
@@ -220,6 +236,7 @@
     this->meanOpenTime += (now - connection.since - this->meanOpenTime) / openTimeSmoothing;
     connection.state = PooledConnection::State::Idle;
     connection.since = now;
+    this->heard = now;
     this->setReachable(true);
     this->dispatch();
 }
@@ -229,7 +246,8 @@
 {
     this->remove(connection);
     if (whileOpening && failure == LinkFailure::Rejected && (code == AnswerCode::TooMany || code == AnswerCode::Busy)) {
-        this->fullUntil = this->timers.now() + this->settings.fullPause;
+        this->heard = this->timers.now();
+        this->fullUntil = this->heard + this->settings.fullPause;
         this->timers.schedule(this->fullUntil, [weak = this->weak_from_this()] {
             if (const auto self = weak.lock())
                 self->dispatch();
@@ -241,6 +259,8 @@
     if (whileOpening) {
         this->setReachable(false);
         this->failWaiters(message);
+        if (failure == LinkFailure::Unreachable)
+            this->failConnections();
     }
     if (!this->retired)
         this->scheduleRetry();
@@ -271,11 +291,21 @@
     if (this->isReachable == reachable)
         return;
     this->isReachable = reachable;
-    if (!reachable)
-        this->failedSince = this->timers.now();
     this->observer.endpointReachable(this->target.id, reachable);
 }
 
+// What waits for an answer of an endpoint that accepts no connection in time would wait for nothing.
+void EndpointPool::failConnections()
+{
+    const auto all = this->connections;
+    for (const auto& connection : all) {
+        if (connection->state == PooledConnection::State::Waiting && connection->since > this->heard)
+            connection->abandon();
+        else if (connection->state == PooledConnection::State::Idle)
+            connection->close();
+    }
+}
+
 // After a connection has ended without being asked to, a new one tells whether the endpoint is still there.
 void EndpointPool::scheduleRetry()
 {
--- a/src/Statements/EndpointPool.h
+++ b/src/Statements/EndpointPool.h
@@ -19,6 +19,9 @@
     /// Bound on the opening of a connection. An idle endpoint opens one within 30 ms; a queue of 16 statements ahead
     /// of it takes up to 200 ms.
     Duration openTimeout = std::chrono::milliseconds(400);
+    /// A statement that is unanswered for this long, while nothing else is heard of the endpoint, makes this VM try a
+    /// new connection. Statements take up to 110 ms and wait behind at most 16 others.
+    Duration suspicionTime = std::chrono::milliseconds(300);
     /// Pause between attempts to reach an endpoint that did not accept a connection.
     Duration retryInterval = std::chrono::milliseconds(250);
     /// Pause after the endpoint has refused a connection because it has too many. Others close idle ones meanwhile.
@@ -77,8 +80,16 @@
 
     bool reachable() const { return this->isReachable; }
 
-    /// Time from which the endpoint has been unreachable.
-    Instant unreachableSince() const { return this->failedSince; }
+    /// Time of the last sign of life.
+    Instant lastHeard() const { return this->heard; }
+
+    /// Tries a new connection unless one is being opened.
+    void probe();
+
+    /// A statement has been unanswered for the time of suspicion.
+    void suspect(Instant sent);
+
+    const EndpointPoolSettings& poolSettings() const { return this->settings; }
 
     /// Expected time of a statement sent now as this organisation, waiting and opening included.
     Duration expectedTime(const OrganisationId&) const;
@@ -114,6 +125,7 @@
     void remove(const PooledConnection&);
     void failWaiters(const std::string& reason);
     void setReachable(bool);
+    void failConnections();
     void scheduleRetry();
     size_t openingFor(const OrganisationId&) const;
     size_t openingCount() const;
@@ -131,7 +143,7 @@
     bool retired = false;
     bool dispatching = false;
     bool isReachable = true;
-    Instant failedSince {};
+    Instant heard {};
     Instant fullUntil {};
     OrganisationId lastOrganisation; ///< of the last opening, used to try again
     std::optional<Timers::Handle> retryTimer;
--- /dev/null
+++ b/src/Statements/GroupInspector.cpp
@@ -0,0 +1,69 @@
+#include "Statements/GroupInspector.h"
+
+#include <utility>
+
+namespace Lavendervane {
+
+using StatusCallback = std::function<void(std::optional<EndpointStatus>)>;
+
+// Sends one of the proxy's own statements that is answered with a status.
+static void ask(EndpointPool& pool, const Statement& statement, const OrganisationId& organisation, Instant deadline,
+    const StatusCallback& callback)
+{
+    pool.acquire(organisation, 0, deadline, [statement, deadline, callback](const Acquired& acquired) {
+        const auto connection = acquired.connection;
+        if (!connection) {
+            callback(std::nullopt);
+            return;
+        }
+        connection->exchange({ statement }, deadline, [connection, callback](const ExchangeResult& result) {
+            if (connection->alive() && connection->pool())
+                connection->pool()->release(connection);
+            callback(result.answered() ? result.answers.back().status : std::nullopt);
+        });
+    });
+}
+
+void inspectEndpoints(GroupTraffic& group, const std::vector<EndpointId>& endpoints,
+    const OrganisationId& organisation, Instant deadline, const StatusesCallback& callback)
+{
+    struct Collection {
+        std::map<EndpointId, EndpointStatus> statuses;
+        size_t outstanding = 0;
+    };
+    auto collection = std::make_shared<Collection>();
+    collection->outstanding = endpoints.size() + 1;
+    const auto finishOne = [collection, callback] {
+        if (!--collection->outstanding)
+            callback(std::move(collection->statuses));
+    };
+    for (const EndpointId& endpoint : endpoints) {
+        const auto pool = group.find(endpoint);
+        if (!pool) {
+            finishOne();
+            continue;
+        }
+        ask(*pool, ownStatement(StatementKind::Status), organisation, deadline,
+            [collection, endpoint, finishOne](std::optional<EndpointStatus> status) {
+                if (status)
+                    collection->statuses.emplace(endpoint, *status);
+                finishOne();
+            });
+    }
+    finishOne();
+}
+
+void stepDownPrimary(GroupTraffic& group, const EndpointId& endpoint, uint64_t term,
+    const OrganisationId& organisation, Instant deadline, const StatusCallback& callback)
+{
+    const auto pool = group.find(endpoint);
+    if (!pool) {
+        callback(std::nullopt);
+        return;
+    }
+    Statement statement = ownStatement(StatementKind::StepDown);
+    statement.term = term;
+    ask(*pool, statement, organisation, deadline, callback);
+}
+
+} // namespace Lavendervane
--- a/src/Statements/GroupTraffic.cpp
+++ b/src/Statements/GroupTraffic.cpp
@@ -12,6 +12,9 @@
 // Reads prefer replicas unless the primary is expected to answer this much sooner.
 static constexpr Duration primaryPenalty = std::chrono::milliseconds(15);
 
+// A sign of life this young shows that the endpoint is reachable.
+static constexpr Duration recentlyHeard = std::chrono::milliseconds(250);
+
 GroupTraffic::GroupTraffic(
     GroupId name, DataCentre own, Timers& timers, EndpointConnector& connector, EndpointObserver& observer)
     : name(std::move(name))
@@ -111,6 +114,17 @@
     return found == this->pools.end() ? nullptr : found->second;
 }
 
+Reachability GroupTraffic::reachability(const EndpointId& endpoint, Instant now)
+{
+    const auto pool = this->find(endpoint);
+    if (!pool || !pool->reachable())
+        return Reachability::Unreachable;
+    if (now - pool->lastHeard() < recentlyHeard)
+        return Reachability::Reachable;
+    pool->probe();
+    return Reachability::Unknown;
+}
+
 uint64_t GroupTraffic::whenChanged(std::function<void()> action)
 {
     this->actions.emplace(++this->lastAction, std::move(action));
--- a/src/Statements/GroupTraffic.h
+++ b/src/Statements/GroupTraffic.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Fleet/Directory.h"
+#include "Peers/PeerMessages.h"
 #include "Statements/EndpointChoice.h"
 #include "Statements/EndpointPool.h"
 #include "Statements/FreshnessLog.h"
@@ -52,6 +53,9 @@
 
     void retireAll();
 
+    /// Whether this VM reaches the endpoint. If it has heard nothing of it lately, it tries to find out.
+    Reachability reachability(const EndpointId&, Instant now);
+
 private:
     GroupId name;
     DataCentre dataCentre;
--- a/src/Statements/PooledConnection.cpp
+++ b/src/Statements/PooledConnection.cpp
@@ -29,15 +29,37 @@
     this->state = State::Waiting;
     this->since = this->timers.now();
     this->callback = std::move(done);
-    this->timer = this->timers.schedule(deadline, [this] {
+    this->scheduleCheck(deadline);
+    this->link->send(statements);
+}
+
+// One timer serves both the suspicion of a silent endpoint and the deadline.
+void PooledConnection::scheduleCheck(Instant deadline)
+{
+    const Instant suspicion
+        = this->home ? this->since + this->home->poolSettings().suspicionTime : deadline;
+    const bool early = suspicion < deadline && this->timers.now() < suspicion;
+    this->timer = this->timers.schedule(early ? suspicion : deadline, [this, deadline, early] {
         this->timer.reset();
         const auto self = this->shared_from_this();
-        auto unanswered = std::exchange(this->callback, nullptr);
-        this->close();
-        if (unanswered)
-            unanswered({ {}, true });
+        if (!early) {
+            auto unanswered = std::exchange(this->callback, nullptr);
+            this->close();
+            if (unanswered)
+                unanswered({ {}, true });
+            return;
+        }
+        this->scheduleCheck(deadline);
+        if (this->home)
+            this->home->suspect(this->since);
     });
-    this->link->send(statements);
+}
+
+void PooledConnection::abandon()
+{
+    const auto self = this->shared_from_this();
+    this->close();
+    this->finish({});
 }
 
 static bool isSubset(const std::map<std::string, std::string>& part, const std::map<std::string, std::string>& whole)
--- a/src/Statements/PooledConnection.h
+++ b/src/Statements/PooledConnection.h
@@ -71,6 +71,10 @@
     void linkAnswered(std::vector<EndpointAnswer>) override;
     void linkFailed(LinkFailure, AnswerCode, const std::string& message) override;
     void finish(ExchangeResult);
+    void scheduleCheck(Instant deadline);
+
+    /// Ends the connection and the exchange under way, without an answer.
+    void abandon();
     void cancelTimer();
 
     EndpointPool* home;
--- a/src/Statements/StatementService.cpp
+++ b/src/Statements/StatementService.cpp
@@ -19,6 +19,7 @@
     , events(log)
     , admissions(this->limitShares, timers, transport, this->options.vm, this->options.dataCentre,
           this->options.admission, stableHash(this->options.vm.str()))
+    , poll(timers, transport, this->options.vm, this->options.reachabilityPoll, stableHash(this->options.vm.str()))
 {
     transport.setListener(this);
 }
@@ -111,10 +112,74 @@
 
 void StatementService::peerMessage(const std::string& sender, const PeerMessage& message)
 {
-    if (const auto* request = std::get_if<TokenRequest>(&message))
+    if (const auto* request = std::get_if<TokenRequest>(&message)) {
         this->admissions.tokensRequested(sender, *request);
-    else if (const auto* reply = std::get_if<TokenReply>(&message))
+    } else if (const auto* reply = std::get_if<TokenReply>(&message)) {
         this->admissions.tokensReceived(sender, *reply);
+    } else if (const auto* question = std::get_if<ReachabilityRequest>(&message)) {
+        GroupTraffic* group = this->findGroup(question->group);
+        const auto reachability
+            = group ? group->reachability(question->endpoint, this->clock.now()) : Reachability::Unknown;
+        this->peers.send(sender, ReachabilityReply { question->number, question->endpoint, reachability });
+    } else if (const auto* answer = std::get_if<ReachabilityReply>(&message)) {
+        this->poll.replyReceived(sender, *answer);
+    } else if (const auto* notice = std::get_if<PromotionNotice>(&message)) {
+        if (GroupTraffic* group = this->findGroup(notice->group))
+            group->primaryExpected = this->clock.now() + std::chrono::milliseconds(notice->expectedInMs);
+        this->control.promotionNoticed(notice->group);
+    }
+}
+
+void StatementService::setPeers(const std::vector<PeerAddress>& vms)
+{
+    this->admissions.setPeers(vms);
+    this->poll.setPeers(vms);
+}
+
+// Questions of the proxy itself concern no organisation; any that is declared may be named in the opening.
+OrganisationId StatementService::anyOrganisation() const
+{
+    const auto& organisations = this->current->configuration().organisations;
+    return organisations.empty() ? OrganisationId() : organisations.front().name;
+}
+
+void StatementService::inspect(
+    const GroupId& name, const std::vector<EndpointId>& endpoints, const StatusesCallback& callback)
+{
+    GroupTraffic* group = this->findGroup(name);
+    if (!group) {
+        callback({});
+        return;
+    }
+    inspectEndpoints(
+        *group, endpoints, this->anyOrganisation(), this->clock.now() + this->options.inspectionTimeout, callback);
+}
+
+void StatementService::stepDown(const GroupId& name, const EndpointId& endpoint, uint64_t term,
+    const std::function<void(std::optional<EndpointStatus>)>& callback)
+{
+    GroupTraffic* group = this->findGroup(name);
+    if (!group) {
+        callback(std::nullopt);
+        return;
+    }
+    stepDownPrimary(*group, endpoint, term, this->anyOrganisation(),
+        this->clock.now() + this->options.inspectionTimeout, callback);
+}
+
+void StatementService::askOpinions(
+    const GroupId& group, const EndpointId& endpoint, ReachabilityPoll::Callback callback)
+{
+    this->poll.ask(group, endpoint, std::move(callback));
+}
+
+void StatementService::announcePromotion(const GroupId& name, const EndpointId& endpoint, Duration expectedIn)
+{
+    const auto time = std::chrono::duration_cast<std::chrono::milliseconds>(std::max(expectedIn, Duration {}));
+    if (GroupTraffic* group = this->findGroup(name))
+        group->primaryExpected = this->clock.now() + time;
+    for (const std::string& address : this->poll.peers())
+        this->peers.send(address, PromotionNotice { name, endpoint, static_cast<uint64_t>(time.count()) });
 }
 
 void StatementService::endpointReachable(const EndpointId& endpoint, bool reachable)
--- a/src/Statements/StatementService.h
+++ b/src/Statements/StatementService.h
@@ -5,7 +5,9 @@
 #include "Peers/PeerTransport.h"
 #include "Runtime/Timers.h"
 #include "Statements/CallerLink.h"
+#include "Statements/GroupInspector.h"
 #include "Statements/GroupTraffic.h"
+#include "Statements/ReachabilityPoll.h"
 #include "Statements/RequestAdmission.h"
 #include "Statements/SessionValues.h"
 #include "Statements/TrafficLog.h"
@@ -33,6 +35,9 @@
     uint32_t reservedConnections = 0;
     /// Pause before a statement that an endpoint was too busy for is sent again.
     Duration busyPause = std::chrono::milliseconds(10);
+    ReachabilityPollSettings reachabilityPoll;
+    /// Bound on the answer of an endpoint to a question for its status.
+    Duration inspectionTimeout = std::chrono::milliseconds(250);
     /// How long an operation waits for news of the primary after an endpoint has denied being it.
     Duration roleChangeWait = std::chrono::milliseconds(150);
 };
@@ -44,6 +49,9 @@
 
     /// An endpoint became reachable or unreachable from this VM.
     virtual void endpointReachable(const GroupId&, const EndpointId&, bool reachable) = 0;
+
+    /// Another VM has ordered a promotion in the group.
+    virtual void promotionNoticed(const GroupId&) = 0;
 };
 
 /// Sessions, groups and limits of one traffic thread. All calls must be made on that thread.
@@ -73,6 +81,21 @@
     /// Null if the group has no endpoints.
     GroupTraffic* findGroup(const GroupId&);
 
+    void setPeers(const std::vector<PeerAddress>&);
+
+    /// Asks endpoints of a group for their status.
+    void inspect(const GroupId&, const std::vector<EndpointId>&, const StatusesCallback&);
+
+    /// Makes the primary a replica.
+    void stepDown(
+        const GroupId&, const EndpointId&, uint64_t term, const std::function<void(std::optional<EndpointStatus>)>&);
+
+    /// Asks other VMs whether they reach the endpoint.
+    void askOpinions(const GroupId&, const EndpointId&, ReachabilityPoll::Callback);
+
+    /// A new primary is expected; other VMs are told.
+    void announcePromotion(const GroupId&, const EndpointId&, Duration expectedIn);
+
     /// Closes sessions as soon as they have no transaction.
     void closeIdleSessions();
 
@@ -91,6 +114,7 @@
 
 private:
     void endpointReachable(const EndpointId&, bool reachable) override;
+    OrganisationId anyOrganisation() const;
 
     StatementServiceSettings options;
     Timers& clock;
@@ -100,6 +124,7 @@
     TrafficLog& events;
     LimitShares limitShares;
     RequestAdmission admissions;
+    ReachabilityPoll poll;
     PreparedNumbers numbers;
     std::shared_ptr<const Directory> current;
     std::map<GroupId, std::unique_ptr<GroupTraffic>> groups;
