Test sessions, pools, admission and shares without a network

One found a fault: reads stayed at the primary as long as only it had an idle connection, because the penalty of the primary was smaller than the time of an opening. Change: manual clock, fake databases, fixtures; the penalty is 40 ms.

--- a/src/Statements/GroupTraffic.cpp
+++ b/src/Statements/GroupTraffic.cpp
@@ -9,8 +9,9 @@
 static constexpr Duration laggingPause = std::chrono::milliseconds(200);
 // Expected extra cost of an endpoint in another data centre: a round trip over links of 1 to 2 ms one way.
 static constexpr Duration otherDataCentreCost = std::chrono::milliseconds(3);
-// Reads prefer replicas unless the primary is expected to answer this much sooner.
-static constexpr Duration primaryPenalty = std::chrono::milliseconds(15);
+// Reads prefer replicas unless the primary is expected to answer this much sooner. More than the opening of a connection,
+// or reads would stay where connections are already.
+static constexpr Duration primaryPenalty = std::chrono::milliseconds(40);
 
 // A sign of life this young shows that the endpoint is reachable.
 static constexpr Duration recentlyHeard = std::chrono::milliseconds(250);
--- /dev/null
+++ b/tests/Limits/ShareKeeperTest.cpp
@@ -0,0 +1,131 @@
+#include "Limits/ShareKeeper.h"
+
+#include "Limits/LimitShares.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+
+using namespace Lavendervane;
+using namespace std::chrono_literals;
+
+namespace {
+
+const OrganisationId desk("desk");
+
+struct KeeperFixture {
+    ShareKeeper keeper { { { VmId("vm-1"), DataCentre("dc"), "10.0.0.1:1" }, "run-1" }, {}, 1 };
+    Instant now { 100s };
+
+    template <typename Effect> static const Effect* find(const std::vector<ShareEffect>& effects)
+    {
+        for (const ShareEffect& effect : effects) {
+            if (const auto* found = std::get_if<Effect>(&effect))
+                return found;
+        }
+        return nullptr;
+    }
+
+    TableReply reply(TableStatus status, uint64_t revision, const std::string& value) const
+    {
+        TableReply made;
+        made.result.status = status;
+        made.result.rows = { { ShareKeeper::ledgerKey(), revision, value } };
+        made.revision = revision;
+        made.clock = { 5000, this->now, this->now };
+        return made;
+    }
+
+    /// Runs until the first write.
+    std::vector<ShareEffect> firstWrite()
+    {
+        this->keeper.start(this->now);
+        this->keeper.handle(ShareTimerFired {}, this->now);
+        this->keeper.handle(DemandsMeasured { { { desk, 0 } } }, this->now);
+        return this->keeper.handle(LedgerRead { this->reply(TableStatus::Done, 0, "") }, this->now);
+    }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(ShareKeeperTest, KeeperFixture)
+
+BOOST_AUTO_TEST_CASE(Start_EmptyTable_WritesThenApplies)
+{
+    const auto writing = this->firstWrite();
+    const auto* write = find<WriteLedger>(writing);
+    BOOST_REQUIRE(write);
+    BOOST_TEST(write->transaction.conditions.front().revision == 0U);
+    BOOST_TEST(!find<ApplyShares>(writing));
+    const auto applied = this->keeper.handle(LedgerWritten { this->reply(TableStatus::Done, 9, "") }, this->now);
+    BOOST_REQUIRE(find<ApplyShares>(applied));
+    BOOST_TEST(find<ApplyShares>(applied)->shares.at(desk) > 0U);
+    BOOST_TEST(find<FleetKnown>(applied)->vms.size() == 1U);
+}
+
+// Shares may be used only once the table has confirmed them; a lost answer confirms nothing.
+BOOST_AUTO_TEST_CASE(Write_AnswerLost_ReadsAgainBeforeNextWrite)
+{
+    this->firstWrite();
+    const auto lost = this->keeper.handle(LedgerWritten { this->reply(TableStatus::Unknown, 0, "") }, this->now);
+    BOOST_TEST(!find<ApplyShares>(lost));
+    BOOST_REQUIRE(find<SetShareTimer>(lost));
+    this->keeper.handle(ShareTimerFired {}, this->now + 1s);
+    BOOST_TEST(find<ReadLedger>(this->keeper.handle(DemandsMeasured { { { desk, 0 } } }, this->now + 1s)));
+}
+
+// After a conflict the current row is known, so no read is needed.
+BOOST_AUTO_TEST_CASE(Write_Conflict_WritesOnCurrentRevision)
+{
+    this->firstWrite();
+    ShareLedger other;
+    other.renew({ { VmId("vm-2"), DataCentre("dc"), "10.0.0.2:1" }, "run" }, { { desk, 0 } }, 5000, {});
+    this->keeper.handle(
+        LedgerWritten { this->reply(TableStatus::Conflict, 12, other.serialise()) }, this->now);
+    this->keeper.handle(ShareTimerFired {}, this->now + 50ms);
+    const auto again = this->keeper.handle(DemandsMeasured { { { desk, 0 } } }, this->now + 50ms);
+    BOOST_REQUIRE(find<WriteLedger>(again));
+    BOOST_TEST(find<WriteLedger>(again)->transaction.conditions.front().revision == 12U);
+}
+
+// A share that shrinks must shrink here before others can learn that it is free.
+BOOST_AUTO_TEST_CASE(Write_ShareShrinks_AppliesBeforeAnswer)
+{
+    this->firstWrite();
+    this->keeper.handle(LedgerWritten { this->reply(TableStatus::Done, 9, "") }, this->now);
+    ShareLedger crowded;
+    for (int vm = 1; vm <= 40; ++vm)
+        crowded.renew({ { VmId("vm-" + std::to_string(vm)), DataCentre("dc"), "" }, "run-1" }, { { desk, 0 } }, 5000, {});
+    this->keeper.handle(ShareTimerFired {}, this->now + 3s);
+    this->keeper.handle(DemandsMeasured { { { desk, 0 } } }, this->now + 3s);
+    this->keeper.handle(
+        LedgerWritten { this->reply(TableStatus::Conflict, 20, crowded.serialise()) }, this->now + 3s);
+    this->keeper.handle(ShareTimerFired {}, this->now + 4s);
+    const auto writing = this->keeper.handle(DemandsMeasured { { { desk, 0 } } }, this->now + 4s);
+    BOOST_REQUIRE(find<WriteLedger>(writing));
+    BOOST_REQUIRE(find<ApplyShares>(writing));
+    BOOST_TEST(find<ApplyShares>(writing)->shares.at(desk) <= wholeShare / 40);
+}
+
+BOOST_AUTO_TEST_CASE(Read_MalformedRow_TakesNothing)
+{
+    this->keeper.start(this->now);
+    this->keeper.handle(ShareTimerFired {}, this->now);
+    this->keeper.handle(DemandsMeasured { { { desk, 0 } } }, this->now);
+    const auto effects = this->keeper.handle(LedgerRead { this->reply(TableStatus::Done, 4, "garbage") }, this->now);
+    BOOST_TEST(!find<WriteLedger>(effects));
+    BOOST_TEST(find<SetShareTimer>(effects));
+}
+
+BOOST_AUTO_TEST_CASE(Stop_SharesHeld_AreGivenBack)
+{
+    this->firstWrite();
+    this->keeper.handle(LedgerWritten { this->reply(TableStatus::Done, 9, "") }, this->now);
+    const auto stopping = this->keeper.handle(ShareStopRequested {}, this->now + 5s);
+    BOOST_REQUIRE(find<WriteLedger>(stopping));
+    BOOST_TEST((ShareLedger::parse(find<WriteLedger>(stopping)->transaction.writes.front().value) == ShareLedger()));
+    const auto left = this->keeper.handle(LedgerWritten { this->reply(TableStatus::Done, 10, "") }, this->now + 5s);
+    BOOST_TEST(find<SharesLeft>(left));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/Limits/ShareLedgerTest.cpp
@@ -0,0 +1,102 @@
+#include "Limits/ShareLedger.h"
+
+#include "Core/Error.h"
+#include "Core/RandomGenerator.h"
+#include "Limits/LimitShares.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace Lavendervane;
+
+BOOST_AUTO_TEST_SUITE(ShareLedgerTest)
+
+static const OrganisationId desk("desk");
+
+static ShareLedger::Holder holder(int number, const std::string& run = "1")
+{
+    const std::string name = "vm-" + std::to_string(number);
+    return { { VmId(name), DataCentre("dc"), name + ":1" }, run };
+}
+
+// VMs that start together must end with even shares, whoever came first.
+BOOST_AUTO_TEST_CASE(Renew_AllVmsTwice_DividesEvenly)
+{
+    ShareLedger ledger;
+    const ShareLedger::Settings settings;
+    for (int round = 0; round < 3; ++round) {
+        for (int vm = 0; vm < 18; ++vm)
+            ledger.renew(holder(vm), { { desk, 0 } }, 1000, settings);
+    }
+    BOOST_TEST(ledger.taken(desk) <= wholeShare);
+    const auto share = ledger.renew(holder(3), { { desk, 0 } }, 1000, settings).at(desk);
+    BOOST_TEST(share == wholeShare / 18);
+}
+
+// A new run of a VM takes its shares over at once: the earlier run has ended, and tokens start empty.
+BOOST_AUTO_TEST_CASE(Renew_NewRunOfVm_TakesOverShares)
+{
+    ShareLedger ledger;
+    const ShareLedger::Settings settings;
+    for (int vm = 0; vm < 3; ++vm)
+        ledger.renew(holder(vm), { { desk, 0 } }, 1000, settings);
+    const auto taken = ledger.taken(desk);
+    ledger.renew(holder(1, "2"), { { desk, 0 } }, 2000, settings);
+    BOOST_TEST(ledger.taken(desk) >= taken);
+    BOOST_TEST(ledger.peers().size() == 3U);
+}
+
+// Shares of a VM that is gone for good must come back, but not before its own clock says that they have ended.
+BOOST_AUTO_TEST_CASE(Renew_HolderGone_FreesSharesAfterLifetimeAndSlack)
+{
+    ShareLedger ledger;
+    const ShareLedger::Settings settings;
+    ledger.renew(holder(0), { { desk, 0 } }, 0, settings);
+    ledger.renew(holder(1), { { desk, 0 } }, settings.lifetimeMs + settings.slackMs - 1, settings);
+    BOOST_TEST(ledger.peers().size() == 2U);
+    ledger.renew(holder(1), { { desk, 0 } }, settings.lifetimeMs + settings.slackMs, settings);
+    BOOST_TEST(ledger.peers().size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(Leave_EarlierRun_ChangesNothing)
+{
+    ShareLedger ledger;
+    ledger.renew(holder(0, "2"), { { desk, 0 } }, 0, {});
+    ledger.leave(holder(0, "1"));
+    BOOST_TEST(ledger.peers().size() == 1U);
+    ledger.leave(holder(0, "2"));
+    BOOST_TEST(ledger.peers().empty());
+}
+
+// Whatever VMs ask in whatever order, an organisation's shares must never exceed the whole.
+BOOST_AUTO_TEST_CASE(Renew_RandomOrderAndDemand_NeverExceedsWhole)
+{
+    for (uint64_t seed = 1; seed <= 20; ++seed) {
+        RandomGenerator random(seed);
+        ShareLedger ledger;
+        uint64_t now = 0;
+        for (int step = 0; step < 400; ++step) {
+            now += random.below(20'000);
+            const int vm = static_cast<int>(random.below(30));
+            if (random.below(10) == 0)
+                ledger.leave(holder(vm));
+            else
+                ledger.renew(holder(vm, std::to_string(random.below(3))), { { desk, random.below(50'000) } }, now, {});
+            BOOST_REQUIRE(ledger.taken(desk) <= wholeShare);
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(Parse_Serialised_IsEqual)
+{
+    ShareLedger ledger;
+    ledger.renew(holder(0), { { desk, 1500 } }, 77, {});
+    BOOST_TEST((ShareLedger::parse(ledger.serialise()) == ledger));
+}
+
+BOOST_AUTO_TEST_CASE(Parse_Malformed_Throws)
+{
+    for (const char* text : { "", "[]", "{}", R"({"holders":{"a":{}}})", R"({"holders":{"a":{"run":1}}})" })
+        BOOST_CHECK_THROW(ShareLedger::parse(text), Error);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/Statements/EndpointPoolTest.cpp
@@ -0,0 +1,193 @@
+#include "FakeDatabases.h"
+#include "ManualTimers.h"
+
+#include "Statements/EndpointPool.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace Lavendervane;
+using namespace std::chrono_literals;
+
+namespace {
+
+class Observer : public EndpointObserver {
+public:
+    void endpointReachable(const EndpointId&, bool reachable) override { this->changes.push_back(reachable); }
+
+    std::vector<bool> changes;
+};
+
+struct PoolFixture {
+    PoolFixture()
+    {
+        RegisteredEndpoint endpoint;
+        endpoint.id = EndpointId("a");
+        endpoint.group = GroupId("stock");
+        endpoint.slots = 2;
+        this->pool = std::make_shared<EndpointPool>(endpoint, this->timers, this->connector, this->observer);
+        this->pool->setConnectionLimit(2);
+    }
+
+    /// Asks for a connection; the result stands in `results` once it is there.
+    size_t acquire(const std::string& organisation, Duration wait = 100ms)
+    {
+        const size_t index = this->results.size();
+        this->results.emplace_back();
+        this->pool->acquire(OrganisationId(organisation), 0, this->timers.now() + wait,
+            [this, index](Acquired result) { this->results[index] = std::move(result); });
+        return index;
+    }
+
+    ManualTimers timers;
+    FakeConnector connector { timers };
+    Observer observer;
+    std::shared_ptr<EndpointPool> pool;
+    std::vector<std::optional<Acquired>> results;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(EndpointPoolTest, PoolFixture)
+
+// More connections than this VM's part would leave other VMs without.
+BOOST_AUTO_TEST_CASE(Acquire_LimitReached_WaitsForRelease)
+{
+    this->acquire("desk");
+    this->acquire("desk");
+    const size_t third = this->acquire("desk");
+    this->timers.advance(20ms);
+    BOOST_TEST(this->connector.database("a").connections == 2U);
+    BOOST_TEST(!this->results[third]);
+    this->pool->release(this->results[0]->connection);
+    BOOST_REQUIRE(this->results[third]);
+    BOOST_TEST((this->results[third]->connection == this->results[0]->connection));
+}
+
+// Idle connections of one organisation must not lock others out.
+BOOST_AUTO_TEST_CASE(Acquire_IdleConnectionsOfAnotherOrganisation_AreReplaced)
+{
+    this->acquire("desk");
+    this->acquire("desk");
+    this->timers.advance(20ms);
+    this->pool->release(this->results[0]->connection);
+    this->pool->release(this->results[1]->connection);
+    const size_t other = this->acquire("club");
+    this->timers.advance(20ms);
+    BOOST_REQUIRE(this->results[other]);
+    BOOST_TEST(this->results[other]->connection->organisation() == OrganisationId("club"));
+    BOOST_TEST(this->connector.database("a").connections == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(Acquire_NothingFreeInTime_EndsAtDeadline)
+{
+    this->acquire("desk");
+    this->acquire("desk");
+    const size_t third = this->acquire("club", 50ms);
+    this->timers.advance(60ms);
+    BOOST_REQUIRE(this->results[third]);
+    BOOST_TEST(!this->results[third]->connection);
+}
+
+// A waiter whose caller has left must not be handed a connection that nobody gives back.
+BOOST_AUTO_TEST_CASE(Cancel_Waiting_GetsNothing)
+{
+    this->acquire("desk");
+    this->acquire("desk");
+    this->timers.advance(20ms);
+    bool called = false;
+    const uint64_t number = this->pool->acquire(
+        OrganisationId("desk"), 0, this->timers.now() + 1s, [&called](const Acquired&) { called = true; });
+    this->pool->cancel(number);
+    this->pool->release(this->results[0]->connection);
+    this->timers.advance(2s);
+    BOOST_TEST(!called);
+}
+
+// A connection with an open transaction would mix it with the next caller's statements.
+BOOST_AUTO_TEST_CASE(Release_TransactionOpen_ClosesConnection)
+{
+    this->connector.database("a").role = EndpointRole::Primary;
+    this->acquire("desk");
+    this->timers.advance(20ms);
+    const auto connection = this->results[0]->connection;
+    connection->exchange({ ownStatement(StatementKind::Begin) }, this->timers.now() + 1s, [](const ExchangeResult&) { });
+    this->timers.advance(20ms);
+    this->pool->release(connection);
+    BOOST_TEST(!connection->alive());
+    BOOST_TEST(this->connector.database("a").connections == 0U);
+}
+
+// An answer that comes late must never meet the next statement, so the connection ends with the deadline.
+BOOST_AUTO_TEST_CASE(Exchange_DeadlinePassed_EndsConnection)
+{
+    this->acquire("desk");
+    this->timers.advance(20ms);
+    this->connector.database("a").silent = true;
+    const auto connection = this->results[0]->connection;
+    std::optional<ExchangeResult> result;
+    connection->exchange({ ownStatement(StatementKind::Status) }, this->timers.now() + 100ms,
+        [&result](ExchangeResult ended) { result = std::move(ended); });
+    this->timers.advance(150ms);
+    BOOST_REQUIRE(result);
+    BOOST_TEST(result->timedOut);
+    BOOST_TEST(!connection->alive());
+}
+
+BOOST_AUTO_TEST_CASE(Open_Refused_MarksUnreachableAndTriesAgain)
+{
+    this->connector.database("a").refuseConnections = true;
+    const size_t index = this->acquire("desk");
+    this->timers.advance(10ms);
+    BOOST_TEST(!this->results[index]->connection);
+    BOOST_TEST(!this->pool->reachable());
+    this->connector.database("a").refuseConnections = false;
+    this->timers.advance(300ms);
+    BOOST_TEST(this->pool->reachable());
+    BOOST_TEST(this->observer.changes == (std::vector<bool> { false, true }), boost::test_tools::per_element());
+}
+
+// A full endpoint is alive; only the opening waits.
+BOOST_AUTO_TEST_CASE(Open_TooManyConnections_KeepsReachable)
+{
+    this->acquire("desk");
+    this->timers.advance(10ms);
+    this->connector.database("a").tooManyConnections = true;
+    const size_t second = this->acquire("desk", 500ms);
+    this->timers.advance(10ms);
+    BOOST_TEST(this->pool->reachable());
+    BOOST_TEST(!this->results[second]);
+    this->connector.database("a").tooManyConnections = false;
+    this->timers.advance(50ms);
+    BOOST_REQUIRE(this->results[second]);
+    BOOST_TEST((this->results[second]->connection != nullptr));
+}
+
+// Silence alone is no proof: an endpoint that still accepts connections stays in use.
+BOOST_AUTO_TEST_CASE(Exchange_UnansweredButEndpointAlive_KeepsReachable)
+{
+    this->acquire("desk");
+    this->timers.advance(20ms);
+    this->connector.database("a").silent = true;
+    this->results[0]->connection->exchange(
+        { ownStatement(StatementKind::Status) }, this->timers.now() + 2s, [](const ExchangeResult&) { });
+    this->timers.advance(1s);
+    BOOST_TEST(this->pool->reachable());
+}
+
+BOOST_AUTO_TEST_CASE(Exchange_EndpointDark_IsFoundBeforeTheDeadline)
+{
+    this->acquire("desk");
+    this->timers.advance(20ms);
+    auto& database = this->connector.database("a");
+    database.silent = true;
+    database.silentToConnections = true;
+    std::optional<ExchangeResult> result;
+    this->results[0]->connection->exchange({ ownStatement(StatementKind::Status) }, this->timers.now() + 5s,
+        [&result](ExchangeResult ended) { result = std::move(ended); });
+    this->timers.advance(1s);
+    BOOST_TEST(!this->pool->reachable());
+    BOOST_REQUIRE(result);
+    BOOST_TEST(!result->answered());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/Statements/FakeDatabases.cpp
@@ -0,0 +1,199 @@
+#include "FakeDatabases.h"
+
+#include <utility>
+
+namespace Lavendervane {
+
+namespace {
+
+class FakeLink : public EndpointLink, public std::enable_shared_from_this<FakeLink> {
+public:
+    FakeLink(ManualTimers& timers, FakeDatabase& database, LinkListener& listener, Duration delay)
+        : timers(timers)
+        , database(database)
+        , listener(&listener)
+        , delay(delay)
+    {
+    }
+
+    void open(const OrganisationId& organisation)
+    {
+        if (this->database.silentToConnections)
+            return;
+        this->later([this, organisation] {
+            if (this->database.refuseConnections) {
+                this->fail(LinkFailure::Refused, AnswerCode::Busy);
+            } else if (this->database.tooManyConnections) {
+                this->fail(LinkFailure::Rejected, AnswerCode::TooMany);
+            } else {
+                this->connected = true;
+                ++this->database.connections;
+                this->database.openings.push_back(organisation);
+                this->listener->linkOpened();
+            }
+        });
+    }
+
+    void send(const std::vector<Statement>& statements) override
+    {
+        std::vector<EndpointAnswer> answers;
+        for (const Statement& statement : statements) {
+            if (this->database.breakAt == statement.kind) {
+                this->database.breakAt.reset();
+                this->database.seen.push_back("broken");
+                this->later([this] { this->fail(LinkFailure::Broken, AnswerCode::Busy); });
+                return;
+            }
+            answers.push_back(this->answer(statement));
+        }
+        if (this->database.silent)
+            return;
+        this->later([this, answers = std::move(answers)]() mutable { this->listener->linkAnswered(std::move(answers)); });
+    }
+
+    void close() override
+    {
+        this->listener = nullptr;
+        if (std::exchange(this->connected, false))
+            --this->database.connections;
+    }
+
+private:
+    template <typename Action> void later(Action action)
+    {
+        this->timers.schedule(this->timers.now() + this->delay, [self = this->shared_from_this(), action]() mutable {
+            if (self->listener)
+                action();
+        });
+    }
+
+    void fail(LinkFailure failure, AnswerCode code)
+    {
+        LinkListener* receiver = this->listener;
+        this->close();
+        receiver->linkFailed(failure, code, "fake failure");
+    }
+
+    EndpointAnswer answer(const Statement& statement)
+    {
+        this->database.seen.push_back(describe(statement));
+        EndpointAnswer reply;
+        reply.code = this->codeFor(statement);
+        if (reply.code == AnswerCode::Done)
+            this->carryOut(statement, reply);
+        else if (this->state == TransactionState::Open)
+            this->state = TransactionState::Failed;
+        reply.state = this->state;
+        reply.position = this->database.position;
+        return reply;
+    }
+
+    AnswerCode codeFor(const Statement& statement)
+    {
+        if (const auto refusal = this->database.refuseNext.find(statement.kind);
+            refusal != this->database.refuseNext.end()) {
+            const AnswerCode code = refusal->second;
+            this->database.refuseNext.erase(refusal);
+            return code;
+        }
+        if (statement.requiredPosition && this->database.position < *statement.requiredPosition)
+            return AnswerCode::Lagging;
+        const bool needsPrimary
+            = statement.kind == StatementKind::Begin || statement.kind == StatementKind::Write;
+        if (needsPrimary && this->database.role != EndpointRole::Primary)
+            return AnswerCode::ReadOnly;
+        return AnswerCode::Done;
+    }
+
+    void carryOut(const Statement& statement, EndpointAnswer& reply)
+    {
+        switch (statement.kind) {
+        case StatementKind::Begin:
+        case StatementKind::BeginReadOnly:
+            this->state = TransactionState::Open;
+            this->wrote = false;
+            break;
+        case StatementKind::Write:
+            this->wrote = true;
+            if (this->state == TransactionState::Idle)
+                ++this->database.position.position;
+            reply.result = "written";
+            break;
+        case StatementKind::Read:
+        case StatementKind::Execute:
+            reply.result = "row " + statement.text;
+            break;
+        case StatementKind::Commit:
+            if (this->wrote)
+                ++this->database.position.position;
+            this->state = TransactionState::Idle;
+            reply.result = "committed";
+            break;
+        case StatementKind::Rollback:
+            this->state = TransactionState::Idle;
+            break;
+        case StatementKind::Status:
+            reply.status = EndpointStatus { this->database.role, this->database.position.term.counter,
+                this->database.position };
+            break;
+        case StatementKind::StepDown:
+            this->database.role = EndpointRole::Replica;
+            reply.status = EndpointStatus { this->database.role, statement.term, this->database.position };
+            break;
+        default:
+            break;
+        }
+    }
+
+    static std::string describe(const Statement& statement)
+    {
+        const std::string after = statement.requiredPosition
+            ? " after " + std::to_string(statement.requiredPosition->term.counter) + "."
+                + std::to_string(statement.requiredPosition->position)
+            : "";
+        switch (statement.kind) {
+        case StatementKind::Begin:
+            return "begin" + after;
+        case StatementKind::BeginReadOnly:
+            return "begin read only" + after;
+        case StatementKind::Commit:
+            return "commit";
+        case StatementKind::Rollback:
+            return "rollback";
+        case StatementKind::SetValue:
+            return "set " + statement.name + "=" + statement.text;
+        case StatementKind::Prepare:
+            return "prepare " + statement.name + " " + statement.text;
+        case StatementKind::Execute:
+            return "execute " + statement.name + " " + statement.text + after;
+        case StatementKind::Reset:
+            return "reset";
+        case StatementKind::Status:
+            return "status";
+        case StatementKind::StepDown:
+            return "step down " + std::to_string(statement.term);
+        default:
+            return statement.text + after;
+        }
+    }
+
+    ManualTimers& timers;
+    FakeDatabase& database;
+    LinkListener* listener;
+    Duration delay;
+    TransactionState state = TransactionState::Idle;
+    bool wrote = false;
+    bool connected = false;
+};
+
+} // namespace
+
+std::shared_ptr<EndpointLink> FakeConnector::connect(const LinkTarget& target, LinkListener& listener)
+{
+    auto link = std::make_shared<FakeLink>(
+        this->timers, this->databases[target.endpoint.str()], listener, this->delay);
+    link->open(target.organisation);
+    return link;
+}
+
+} // namespace Lavendervane
--- /dev/null
+++ b/tests/Statements/ServiceFixture.h
@@ -0,0 +1,118 @@
+#pragma once
+
+#include "FakeDatabases.h"
+#include "ManualTimers.h"
+
+#include "Statements/CallerLink.h"
+#include "Statements/StatementService.h"
+
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace Lavendervane {
+
+/// One caller's connection; records what the session answers.
+class FakeCaller : public CallerLink {
+public:
+    explicit FakeCaller(StatementService& service)
+        : handler(service.makeHandler(*this))
+    {
+    }
+
+    ~FakeCaller() override { this->leave(); }
+
+    void accept() override { this->accepted = true; }
+    void refuse(AnswerCode code, const std::string&) override { this->refused = code; }
+    void answer(const CallerAnswer& reply) override { this->answers.push_back(reply); }
+    void close() override { this->closed = true; }
+
+    void leave()
+    {
+        if (auto ended = std::exchange(this->handler, nullptr))
+            ended->closed();
+    }
+
+    void send(StatementKind kind, const std::string& text = "", const std::string& name = "")
+    {
+        Statement statement;
+        statement.kind = kind;
+        statement.id = "id" + std::to_string(++this->lastId);
+        statement.text = text;
+        statement.name = name;
+        this->handler->statement(statement);
+    }
+
+    const CallerAnswer& last() const { return this->answers.back(); }
+
+    std::shared_ptr<CallerHandler> handler;
+    bool accepted = false;
+    std::optional<AnswerCode> refused;
+    std::vector<CallerAnswer> answers;
+    bool closed = false;
+    int lastId = 0;
+};
+
+/// Messages between VMs end here.
+class FakeTransport : public PeerTransport {
+public:
+    void send(const std::string& address, const PeerMessage& message) override { this->sent.emplace_back(address, message); }
+    void setListener(PeerListener*) override { }
+
+    std::vector<std::pair<std::string, PeerMessage>> sent;
+};
+
+class FakeDemands : public TrafficDemands {
+public:
+    void endpointReachable(const GroupId&, const EndpointId& endpoint, bool reachable) override
+    {
+        this->reachability.emplace_back(endpoint, reachable);
+    }
+    void promotionNoticed(const GroupId&) override { }
+
+    std::vector<std::pair<EndpointId, bool>> reachability;
+};
+
+class FakeTrafficLog : public TrafficLog {
+public:
+    void statementFailed(const FailedStatement& failed) override { this->failed.push_back(failed); }
+    void statementDone(bool, Duration) override { }
+    void endpointChanged(const EndpointId&, std::string_view) override { }
+
+    std::vector<FailedStatement> failed;
+};
+
+/// A service before one group "stock" with primary "a" and replicas "b" and "c", and three routes: "strong",
+/// "bounded" (1,500 ms) and "own" (2,500 ms).
+struct ServiceFixture {
+    ServiceFixture();
+
+    /// Publishes the directory from `configuration` and `endpoints`.
+    void publish();
+
+    /// Opens a session and checks that it is accepted.
+    std::unique_ptr<FakeCaller> open(const std::string& database, const std::string& key = "desk-key");
+
+    /// Moves the clock by 20 ms, in which every undisturbed exchange ends.
+    void settle() { this->timers.advance(std::chrono::milliseconds(20)); }
+
+    static const SessionOrganisation& desk(const SessionConfiguration& configuration)
+    {
+        return configuration.organisations.front();
+    }
+
+    ManualTimers timers;
+    FakeConnector connector { timers };
+    FakeTransport transport;
+    FakeDemands demands;
+    FakeTrafficLog log;
+    StatementServiceSettings settings;
+    SessionConfiguration configuration;
+    std::vector<RegisteredEndpoint> endpoints;
+    uint64_t directoryNumber = 0;
+    uint32_t vmCount = 1;
+    std::unique_ptr<StatementService> service;
+};
+
+} // namespace Lavendervane
