Tell a busy endpoint from an unreachable one; allow connections beyond the part

With 26 VMs each had one connection an endpoint for four organisations, and every change of organisation cost an opening. Change: the host's acceptance and the endpoint's answer have limits of their own; a VM may open two connections beyond its part while the endpoint has room and closes them after 0.7 s idle; refused openings pause up to 0.32 s.

--- a/src/Limits/ShareKeeper.cpp
+++ b/src/Limits/ShareKeeper.cpp
@@ -32,16 +32,15 @@
 {
     this->adopted = true;
     this->busy = false;
-    Effects effects { SetShareTimer { now + this->randomPart(this->settings.startSpread) } };
     const auto lease = this->ledger->leaseOf(this->holder.peer.vm);
     const uint64_t tableNow = this->clock.atLeast(now);
     if (!lease || lease->untilMs <= tableNow)
-        return effects;
+        return { SetShareTimer { now + this->randomPart(this->settings.startSpread) } };
+    this->exchanges = this->settings.earlyExchanges;
     this->held = lease->shares;
     this->expiry = now + std::chrono::milliseconds(lease->untilMs - tableNow) - this->clock.uncertainty();
-    effects.emplace_back(ApplyShares { this->held, this->expiry });
-    effects.emplace_back(FleetKnown { this->ledger->peers() });
-    return effects;
+    return { ApplyShares { this->held, this->expiry }, FleetKnown { this->ledger->peers() },
+        SetShareTimer { now + this->randomPart(this->settings.adoptedSpread) } };
 }
 
 Duration ShareKeeper::randomPart(Duration bound)
--- a/src/Limits/ShareKeeper.h
+++ b/src/Limits/ShareKeeper.h
@@ -16,7 +16,9 @@
 struct ShareKeeperSettings {
     ShareLedger::Settings ledger;
     /// Upper bound of the random pause between the first read and the first write. VMs often start together.
-    Duration startSpread = std::chrono::milliseconds(400);
+    Duration startSpread = std::chrono::milliseconds(1000);
+    /// The same for a VM that has adopted the shares of its earlier run and needs nothing soon.
+    Duration adoptedSpread = std::chrono::seconds(5);
     /// The second and third exchange, to learn of VMs that started at the same time and to divide evenly with them.
     Duration earlyInterval = std::chrono::seconds(3);
     uint32_t earlyExchanges = 3;
--- a/src/Statements/EndpointLink.h
+++ b/src/Statements/EndpointLink.h
@@ -33,6 +33,9 @@
 public:
     virtual ~LinkListener() = default;
 
+    /// The endpoint's host has accepted the connection; the endpoint itself has not answered yet.
+    virtual void linkConnected() = 0;
+
     virtual void linkOpened() = 0;
 
     /// Answers to the statements of one `send`, in order.
--- a/src/Statements/EndpointPool.cpp
+++ b/src/Statements/EndpointPool.cpp
@@ -84,13 +84,49 @@
     if (!connection->alive())
         return;
     const bool clean = connection->state == PooledConnection::State::InUse && !connection->inTransaction;
-    if (!clean || this->retired || this->connections.size() > this->limit) {
+    if (!clean || this->retired || this->connections.size() > this->allowedConnections()) {
         connection->close();
         return;
     }
     connection->state = PooledConnection::State::Idle;
     connection->since = this->timers.now();
     this->dispatch();
+    if (this->connections.size() <= this->limit || this->surplusCheck)
+        return;
+    this->surplusCheck = true;
+    this->timers.schedule(this->timers.now() + this->settings.surplusIdle, [weak = this->weak_from_this()] {
+        if (const auto self = weak.lock())
+            self->closeSurplus();
+    });
+}
+
+size_t EndpointPool::allowedConnections() const
+{
+    return this->timers.now() < this->noSurplusUntil ? this->limit : this->limit + this->settings.surplusConnections;
+}
+
+void EndpointPool::closeSurplus()
+{
+    this->surplusCheck = false;
+    const Instant now = this->timers.now();
+    const auto all = this->connections;
+    bool left = false;
+    for (const auto& connection : all) {
+        if (this->connections.size() <= this->limit)
+            return;
+        const bool idle = connection->state == PooledConnection::State::Idle;
+        if (idle && now - connection->since >= this->settings.surplusIdle)
+            connection->close();
+        else
+            left = true;
+    }
+    if (!left || this->connections.size() <= this->limit)
+        return;
+    this->surplusCheck = true;
+    this->timers.schedule(now + this->settings.surplusIdle, [weak = this->weak_from_this()] {
+        if (const auto self = weak.lock())
+            self->closeSurplus();
+    });
 }
 
 void EndpointPool::retire()
@@ -195,7 +231,7 @@
             break;
         if (!this->isReachable && this->retryTimer)
             break;
-        if (this->connections.size() >= this->limit && !this->makeRoom())
+        if (this->connections.size() >= this->allowedConnections() && !this->makeRoom())
             break;
         this->startOpening(organisation);
     }
@@ -221,15 +257,28 @@
     this->lastOrganisation = organisation;
     const auto connection = std::make_shared<PooledConnection>(*this, this->timers, organisation);
     this->connections.push_back(connection);
-    connection->timer = this->timers.schedule(this->timers.now() + this->settings.openTimeout, [this, connection] {
+    connection->timer = this->timers.schedule(this->timers.now() + this->settings.connectTimeout, [connection] {
         connection->timer.reset();
         connection->link->close();
-        connection->linkFailed(LinkFailure::Unreachable, AnswerCode::Busy, "no answer to the opening");
+        connection->linkFailed(LinkFailure::Unreachable, AnswerCode::Busy, "the host does not accept the connection");
     });
     connection->link = this->connector.connect(
         { this->target.group, this->target.id, this->target.address, organisation }, *connection);
 }
 
+// A host that accepts connections is alive; an endpoint that takes long to open one is busy.
+void EndpointPool::hostAnswered(PooledConnection& connection)
+{
+    this->heard = this->timers.now();
+    connection.cancelTimer();
+    connection.timer = this->timers.schedule(
+        this->heard + this->settings.openTimeout, [opening = connection.shared_from_this()] {
+            opening->timer.reset();
+            opening->link->close();
+            opening->linkFailed(LinkFailure::Rejected, AnswerCode::Busy, "the endpoint does not open the connection");
+        });
+}
+
 void EndpointPool::connectionOpened(PooledConnection& connection)
 {
     const Instant now = this->timers.now();
@@ -237,6 +286,7 @@
     connection.state = PooledConnection::State::Idle;
     connection.since = now;
     this->heard = now;
+    this->fullPause = {};
     this->setReachable(true);
     this->dispatch();
 }
@@ -247,7 +297,10 @@
     this->remove(connection);
     if (whileOpening && failure == LinkFailure::Rejected && (code == AnswerCode::TooMany || code == AnswerCode::Busy)) {
         this->heard = this->timers.now();
-        this->fullUntil = this->heard + this->settings.fullPause;
+        this->fullPause
+            = std::clamp(2 * this->fullPause, this->settings.fullPause, this->settings.longestFullPause);
+        this->fullUntil = this->heard + this->fullPause;
+        this->noSurplusUntil = this->heard + this->settings.surplusPause;
         this->timers.schedule(this->fullUntil, [weak = this->weak_from_this()] {
             if (const auto self = weak.lock())
                 self->dispatch();
--- a/src/Statements/EndpointPool.h
+++ b/src/Statements/EndpointPool.h
@@ -16,16 +16,26 @@
 namespace Lavendervane {
 
 struct EndpointPoolSettings {
-    /// Bound on the opening of a connection. An idle endpoint opens one within 30 ms; a queue of 16 statements ahead
-    /// of it takes up to 200 ms.
-    Duration openTimeout = std::chrono::milliseconds(400);
+    /// Bound on the time until the endpoint's host accepts a connection: a hundred round trips within a region.
+    Duration connectTimeout = std::chrono::milliseconds(300);
+    /// Bound on the opening after that. An idle endpoint takes up to 30 ms; a busy one lets it wait behind statements.
+    Duration openTimeout = std::chrono::milliseconds(2000);
+    /// Connections beyond this VM's part that it opens while the endpoint has room. Organisations need connections of
+    /// their own, and most VMs do not use their whole part at a time.
+    uint32_t surplusConnections = 2;
+    /// A connection beyond the part is closed after it has been idle for this long.
+    Duration surplusIdle = std::chrono::milliseconds(700);
+    /// After the endpoint has refused a connection, none beyond the part is opened for this long.
+    Duration surplusPause = std::chrono::seconds(3);
     /// A statement that is unanswered for this long, while nothing else is heard of the endpoint, makes this VM try a
     /// new connection. Statements take up to 110 ms and wait behind at most 16 others.
     Duration suspicionTime = std::chrono::milliseconds(300);
     /// Pause between attempts to reach an endpoint that did not accept a connection.
     Duration retryInterval = std::chrono::milliseconds(250);
-    /// Pause after the endpoint has refused a connection because it has too many. Others close idle ones meanwhile.
+    /// Pause after the endpoint has refused a connection because it has too many; it doubles with each refusal in a row
+    /// up to the longest. Others close idle ones meanwhile.
     Duration fullPause = std::chrono::milliseconds(20);
+    Duration longestFullPause = std::chrono::milliseconds(320);
     /// Connections that may be opened at the same time; each takes a slot of the endpoint.
     uint32_t concurrentOpens = 2;
     /// A new connection takes about this long until one has been measured.
@@ -120,6 +130,9 @@
     std::shared_ptr<PooledConnection> findIdle(const OrganisationId&, uint64_t valuesStamp) const;
     bool makeRoom();
     void startOpening(const OrganisationId&);
+    void hostAnswered(PooledConnection&);
+    void closeSurplus();
+    size_t allowedConnections() const;
     void connectionOpened(PooledConnection&);
     void connectionFailed(PooledConnection&, LinkFailure, AnswerCode, const std::string& message, bool whileOpening);
     void remove(const PooledConnection&);
@@ -145,6 +158,9 @@
     bool isReachable = true;
     Instant heard {};
     Instant fullUntil {};
+    Duration fullPause {}; ///< the present one; 0 after a success
+    Instant noSurplusUntil {};
+    bool surplusCheck = false; ///< a look at idle connections is scheduled
     OrganisationId lastOrganisation; ///< of the last opening, used to try again
     std::optional<Timers::Handle> retryTimer;
     Duration meanTime; ///< moving mean of the time of a statement
--- a/src/Statements/PooledConnection.cpp
+++ b/src/Statements/PooledConnection.cpp
@@ -115,6 +115,12 @@
         this->home->remove(*this);
 }
 
+void PooledConnection::linkConnected()
+{
+    this->hostAnswered = true;
+    this->home->hostAnswered(*this);
+}
+
 void PooledConnection::linkOpened()
 {
     this->cancelTimer();
--- a/src/Statements/PooledConnection.h
+++ b/src/Statements/PooledConnection.h
@@ -67,6 +67,7 @@
         Closed,
     };
 
+    void linkConnected() override;
     void linkOpened() override;
     void linkAnswered(std::vector<EndpointAnswer>) override;
     void linkFailed(LinkFailure, AnswerCode, const std::string& message) override;
@@ -82,6 +83,7 @@
     OrganisationId owner;
     std::shared_ptr<EndpointLink> link;
     State state = State::Opening;
+    bool hostAnswered = false; ///< while opening
     bool inTransaction = false;
     Instant since; ///< time of the last change of state
     uint64_t stamp = 0;
--- a/tests/Statements/FakeDatabases.cpp
+++ b/tests/Statements/FakeDatabases.cpp
@@ -20,6 +20,10 @@
     {
         if (this->database.silentToConnections)
             return;
+        if (!this->database.refuseConnections)
+            this->later([this] { this->listener->linkConnected(); });
+        if (this->database.silentToOpenings)
+            return;
         this->later([this, organisation] {
             if (this->database.refuseConnections) {
                 this->fail(LinkFailure::Refused, AnswerCode::Busy);
--- a/tests/Statements/FakeDatabases.h
+++ b/tests/Statements/FakeDatabases.h
@@ -20,7 +20,8 @@
     bool refuseConnections = false;
     bool tooManyConnections = false;
     bool silent = false; ///< takes statements and never answers
-    bool silentToConnections = false; ///< never answers an opening
+    bool silentToConnections = false; ///< its host does not accept connections
+    bool silentToOpenings = false; ///< its host accepts connections, and nothing answers
     /// The connection breaks instead of an answer to the next statement of this kind.
     std::optional<StatementKind> breakAt;
     std::map<StatementKind, AnswerCode> refuseNext; ///< codes for the next statement of a kind
