Give each organisation a home replica and divide connections with their remainder

Cause: with connections bound to organisations, reads of every organisation at every replica reopened connections all the time; two connections beyond the part made 18 VMs ask for more than the 36 that an endpoint accepts, and refused openings took the place of statements.

--- a/src/Fleet/Directory.cpp
+++ b/src/Fleet/Directory.cpp
@@ -1,5 +1,6 @@
 #include "Fleet/Directory.h"
 
+#include "Core/Rendezvous.h"
 #include "Security/Digest.h"
 
 #include <algorithm>
@@ -13,11 +14,11 @@
 }
 
 Directory::Directory(uint64_t number, std::shared_ptr<const SessionConfiguration> configuration,
-    std::vector<RegisteredEndpoint> endpoints, uint32_t vmCount, std::string digestKey)
+    std::vector<RegisteredEndpoint> endpoints, FleetPlace place, std::string digestKey)
     : serial(number)
     , declared(std::move(configuration))
     , registered(std::move(endpoints))
-    , vms(std::max(1U, vmCount))
+    , place(place)
     , digestKey(std::move(digestKey))
 {
     for (const SessionRoute& route : this->declared->routes)
@@ -39,6 +40,17 @@
     return findIn(this->organisations, digest);
 }
 
+uint32_t Directory::connectionPart(const RegisteredEndpoint& endpoint) const
+{
+    const GroupDeclaration* group = this->findGroup(endpoint.group);
+    if (!group)
+        return 1;
+    const uint32_t vms = std::max(1U, this->place.count);
+    const uint64_t turn = (this->place.index + stableHash(endpoint.id.str())) % vms;
+    const uint32_t extra = turn < group->connectionsPerEndpoint % vms ? 1 : 0;
+    return std::max(1U, group->connectionsPerEndpoint / vms + extra);
+}
+
 const GroupDeclaration* Directory::findGroup(const GroupId& name) const { return findIn(this->groups, name); }
 
 } // namespace Lavendervane
--- a/src/Fleet/Directory.h
+++ b/src/Fleet/Directory.h
@@ -78,20 +78,29 @@
     friend bool operator==(const RegisteredEndpoint&, const RegisteredEndpoint&) = default;
 };
 
+/// Place of this VM among those that share the endpoints' connections.
+struct FleetPlace {
+    uint32_t index = 0;
+    uint32_t count = 1;
+
+    friend bool operator==(const FleetPlace&, const FleetPlace&) = default;
+};
+
 /// Immutable view of configuration and registry for the traffic threads.
 class Directory {
 public:
     /// Keys are looked up by digest under `digestKey`, so that a comparison tells nothing about other keys.
     Directory(uint64_t number, std::shared_ptr<const SessionConfiguration>, std::vector<RegisteredEndpoint>,
-        uint32_t vmCount, std::string digestKey);
+        FleetPlace, std::string digestKey);
 
     /// Grows with each directory of this process.
     uint64_t number() const { return this->serial; }
     const SessionConfiguration& configuration() const { return *this->declared; }
     const std::vector<RegisteredEndpoint>& endpoints() const { return this->registered; }
 
-    /// Number of VMs that share the endpoints' connections; at least 1.
-    uint32_t vmCount() const { return this->vms; }
+    /// Connections to the endpoint that this VM may have: its part of those that the endpoint accepts, at least 1. The
+    /// remainder of the division goes to other VMs for each endpoint.
+    uint32_t connectionPart(const RegisteredEndpoint&) const;
 
     /// Null if there is no such route.
     const SessionRoute* findRoute(const std::string& database) const;
@@ -108,7 +117,7 @@
     uint64_t serial;
     std::shared_ptr<const SessionConfiguration> declared;
     std::vector<RegisteredEndpoint> registered;
-    uint32_t vms;
+    FleetPlace place;
     std::string digestKey;
     std::unordered_map<std::string, const SessionRoute*> routes;
     std::unordered_map<std::string, const SessionOrganisation*> organisations;
--- a/src/Fleet/FleetControl.cpp
+++ b/src/Fleet/FleetControl.cpp
@@ -142,7 +142,7 @@
             endpoint.role = EndpointRole::Replica;
     }
     this->traffic.setDirectory(std::make_shared<const Directory>(
-        ++this->directoryNumber, this->configuration, std::move(endpoints), this->vmCount, this->digestKey));
+        ++this->directoryNumber, this->configuration, std::move(endpoints), this->place, this->digestKey));
 }
 
 void FleetControl::shareTimerFired() { this->run(this->keeper.handle(ShareTimerFired {}, this->timers.now())); }
@@ -247,9 +247,11 @@
     for (const PeerAddress& peer : vms)
         seen.vms.push_back(peer.vm);
     this->promotionEvent(seen);
-    if (vms.size() == this->vmCount)
+    const auto own = std::find(seen.vms.begin(), seen.vms.end(), this->settings.self.vm);
+    const FleetPlace now { static_cast<uint32_t>(own - seen.vms.begin()), static_cast<uint32_t>(seen.vms.size()) };
+    if (now == this->place)
         return;
-    this->vmCount = static_cast<uint32_t>(vms.size());
+    this->place = now;
     this->publish();
 }
 
--- a/src/Fleet/FleetControl.h
+++ b/src/Fleet/FleetControl.h
@@ -93,7 +93,7 @@
     std::map<EndpointId, Instant> lapsedSince;
     bool registryKnown = false;
     bool sharesKnown = false;
-    uint32_t vmCount = 1;
+    FleetPlace place;
     uint64_t directoryNumber = 0;
     std::optional<Timers::Handle> shareTimer;
     std::optional<Timers::Handle> lapseTimer;
--- a/src/Statements/CallerSession.cpp
+++ b/src/Statements/CallerSession.cpp
@@ -256,6 +256,12 @@
     running.statement.requiredPosition.reset();
     running.wrapped = false;
     running.pool = this->choose(*group);
+    if (!running.pool && running.statement.requiredPosition && !running.tried.empty()) {
+        // All endpoints have been asked; replicas catch up and queues get shorter.
+        running.tried.clear();
+        this->tryAgain(AnswerCode::Busy, "all endpoints lag or are busy", this->service.settings().busyPause * running.attempts);
+        return;
+    }
     if (!running.pool) {
         this->waitForPrimary(*group);
         return;
--- a/src/Statements/EndpointPool.cpp
+++ b/src/Statements/EndpointPool.cpp
@@ -84,49 +84,13 @@
     if (!connection->alive())
         return;
     const bool clean = connection->state == PooledConnection::State::InUse && !connection->inTransaction;
-    if (!clean || this->retired || this->connections.size() > this->allowedConnections()) {
+    if (!clean || this->retired || this->connections.size() > this->limit) {
         connection->close();
         return;
     }
     connection->state = PooledConnection::State::Idle;
     connection->since = this->timers.now();
     this->dispatch();
-    if (this->connections.size() <= this->limit || this->surplusCheck)
-        return;
-    this->surplusCheck = true;
-    this->timers.schedule(this->timers.now() + this->settings.surplusIdle, [weak = this->weak_from_this()] {
-        if (const auto self = weak.lock())
-            self->closeSurplus();
-    });
-}
-
-size_t EndpointPool::allowedConnections() const
-{
-    return this->timers.now() < this->noSurplusUntil ? this->limit : this->limit + this->settings.surplusConnections;
-}
-
-void EndpointPool::closeSurplus()
-{
-    this->surplusCheck = false;
-    const Instant now = this->timers.now();
-    const auto all = this->connections;
-    bool left = false;
-    for (const auto& connection : all) {
-        if (this->connections.size() <= this->limit)
-            return;
-        const bool idle = connection->state == PooledConnection::State::Idle;
-        if (idle && now - connection->since >= this->settings.surplusIdle)
-            connection->close();
-        else
-            left = true;
-    }
-    if (!left || this->connections.size() <= this->limit)
-        return;
-    this->surplusCheck = true;
-    this->timers.schedule(now + this->settings.surplusIdle, [weak = this->weak_from_this()] {
-        if (const auto self = weak.lock())
-            self->closeSurplus();
-    });
 }
 
 void EndpointPool::retire()
@@ -231,7 +195,7 @@
             break;
         if (!this->isReachable && this->retryTimer)
             break;
-        if (this->connections.size() >= this->allowedConnections() && !this->makeRoom())
+        if (this->connections.size() >= this->limit && !this->makeRoom())
             break;
         this->startOpening(organisation);
     }
@@ -300,7 +264,6 @@
         this->fullPause
             = std::clamp(2 * this->fullPause, this->settings.fullPause, this->settings.longestFullPause);
         this->fullUntil = this->heard + this->fullPause;
-        this->noSurplusUntil = this->heard + this->settings.surplusPause;
         this->timers.schedule(this->fullUntil, [weak = this->weak_from_this()] {
             if (const auto self = weak.lock())
                 self->dispatch();
--- a/src/Statements/EndpointPool.h
+++ b/src/Statements/EndpointPool.h
@@ -20,13 +20,6 @@
     Duration connectTimeout = std::chrono::milliseconds(300);
     /// Bound on the opening after that. An idle endpoint takes up to 30 ms; a busy one lets it wait behind statements.
     Duration openTimeout = std::chrono::milliseconds(2000);
-    /// Connections beyond this VM's part that it opens while the endpoint has room. Organisations need connections of
-    /// their own, and most VMs do not use their whole part at a time.
-    uint32_t surplusConnections = 2;
-    /// A connection beyond the part is closed after it has been idle for this long.
-    Duration surplusIdle = std::chrono::milliseconds(700);
-    /// After the endpoint has refused a connection, none beyond the part is opened for this long.
-    Duration surplusPause = std::chrono::seconds(3);
     /// A statement that is unanswered for this long, while nothing else is heard of the endpoint, makes this VM try a
     /// new connection. Statements take up to 110 ms and wait behind at most 16 others.
     Duration suspicionTime = std::chrono::milliseconds(300);
@@ -35,7 +28,7 @@
     /// Pause after the endpoint has refused a connection because it has too many; it doubles with each refusal in a row
     /// up to the longest. Others close idle ones meanwhile.
     Duration fullPause = std::chrono::milliseconds(20);
-    Duration longestFullPause = std::chrono::milliseconds(320);
+    Duration longestFullPause = std::chrono::milliseconds(60);
     /// Connections that may be opened at the same time; each takes a slot of the endpoint.
     uint32_t concurrentOpens = 2;
     /// A new connection takes about this long until one has been measured.
@@ -131,8 +124,6 @@
     bool makeRoom();
     void startOpening(const OrganisationId&);
     void hostAnswered(PooledConnection&);
-    void closeSurplus();
-    size_t allowedConnections() const;
     void connectionOpened(PooledConnection&);
     void connectionFailed(PooledConnection&, LinkFailure, AnswerCode, const std::string& message, bool whileOpening);
     void remove(const PooledConnection&);
@@ -159,8 +150,6 @@
     Instant heard {};
     Instant fullUntil {};
     Duration fullPause {}; ///< the present one; 0 after a success
-    Instant noSurplusUntil {};
-    bool surplusCheck = false; ///< a look at idle connections is scheduled
     OrganisationId lastOrganisation; ///< of the last opening, used to try again
     std::optional<Timers::Handle> retryTimer;
     Duration meanTime; ///< moving mean of the time of a statement
--- a/src/Statements/GroupTraffic.cpp
+++ b/src/Statements/GroupTraffic.cpp
@@ -9,6 +9,8 @@
 static constexpr Duration laggingPause = std::chrono::milliseconds(200);
 // Expected extra cost of an endpoint in another data centre: a round trip over links of 1 to 2 ms one way.
 static constexpr Duration otherDataCentreCost = std::chrono::milliseconds(3);
+// Expected extra cost of a replica that mostly serves other organisations of this VM: its connections belong to them.
+static constexpr Duration otherHomeCost = std::chrono::milliseconds(10);
 // Reads prefer replicas unless the primary is expected to answer this much sooner. More than the opening of a connection,
 // or reads would stay where connections are already.
 static constexpr Duration primaryPenalty = std::chrono::milliseconds(40);
@@ -26,7 +28,7 @@
 {
 }
 
-void GroupTraffic::update(const std::vector<RegisteredEndpoint>& endpoints, uint32_t connectionLimit)
+void GroupTraffic::update(const std::vector<RegisteredEndpoint>& endpoints, const Directory& directory)
 {
     std::map<EndpointId, std::shared_ptr<EndpointPool>> kept;
     bool rolesChanged = false;
@@ -42,7 +44,7 @@
             pool = std::make_shared<EndpointPool>(endpoint, this->timers, this->connector, this->observer);
             rolesChanged = true;
         }
-        pool->setConnectionLimit(connectionLimit);
+        pool->setConnectionLimit(directory.connectionPart(endpoint));
         kept.emplace(endpoint.id, std::move(pool));
     }
     const auto previous = std::exchange(this->pools, std::move(kept));
@@ -82,8 +84,9 @@
 }
 
 std::shared_ptr<EndpointPool> GroupTraffic::chooseForRead(const LogPosition& required,
-    const OrganisationId& organisation, const std::vector<EndpointId>& tried, Instant now) const
+    const OrganisationId& organisation, const std::vector<EndpointId>& tried, Instant now)
 {
+    const EndpointId home = this->homeOf(organisation);
     std::vector<ReadCandidate> candidates;
     candidates.reserve(this->pools.size());
     for (const auto& [id, pool] : this->pools) {
@@ -95,6 +98,8 @@
         candidate.expectedTime = pool->expectedTime(organisation);
         if (pool->endpoint().dataCentre != this->dataCentre)
             candidate.expectedTime += otherDataCentreCost;
+        if (id != home)
+            candidate.expectedTime += otherHomeCost;
         candidate.position = pool->position();
         if (const auto lagging = this->laggingUntil.find(id); lagging != this->laggingUntil.end())
             candidate.laggingUntil = lagging->second;
@@ -104,6 +109,40 @@
     return chosen ? this->find(*chosen) : nullptr;
 }
 
+// Each organisation gets one replica for its reads, because a connection serves one organisation only: spreading every
+// organisation over all replicas would need more connections than a VM has.
+EndpointId GroupTraffic::homeOf(const OrganisationId& organisation)
+{
+    const auto usable = [](const EndpointPool& pool) {
+        return pool.endpoint().role == EndpointRole::Replica && pool.reachable() && !pool.endpoint().draining;
+    };
+    const auto known = this->homes.find(organisation);
+    if (known != this->homes.end()) {
+        const auto pool = this->find(known->second);
+        if (pool && usable(*pool))
+            return known->second;
+    }
+    std::map<EndpointId, size_t> guests;
+    for (const auto& [guest, home] : this->homes)
+        ++guests[home];
+    EndpointId best;
+    std::pair<size_t, bool> bestCost;
+    for (const auto& [id, pool] : this->pools) {
+        if (!usable(*pool))
+            continue;
+        const std::pair<size_t, bool> cost { guests[id], pool->endpoint().dataCentre != this->dataCentre };
+        if (best.empty() || cost < bestCost) {
+            best = id;
+            bestCost = cost;
+        }
+    }
+    if (best.empty())
+        this->homes.erase(organisation);
+    else
+        this->homes[organisation] = best;
+    return best;
+}
+
 void GroupTraffic::markLagging(const EndpointId& endpoint, Instant now)
 {
     this->laggingUntil[endpoint] = now + laggingPause;
--- a/src/Statements/GroupTraffic.h
+++ b/src/Statements/GroupTraffic.h
@@ -20,7 +20,7 @@
     GroupTraffic(GroupId, DataCentre own, Timers&, EndpointConnector&, EndpointObserver&);
 
     /// Takes over the endpoints of the registry. Pools of endpoints that left or started again are retired.
-    void update(const std::vector<RegisteredEndpoint>&, uint32_t connectionLimit);
+    void update(const std::vector<RegisteredEndpoint>&, const Directory&);
 
     /// Pool of the endpoint that is thought to be the primary; null if none is known.
     std::shared_ptr<EndpointPool> primary() const;
@@ -31,7 +31,7 @@
 
     /// Endpoint for a read that must find the position; null if none is left.
     std::shared_ptr<EndpointPool> chooseForRead(const LogPosition& required, const OrganisationId&,
-        const std::vector<EndpointId>& tried, Instant now) const;
+        const std::vector<EndpointId>& tried, Instant now);
 
     /// The endpoint lacked a position that others hold.
     void markLagging(const EndpointId&, Instant now);
@@ -57,6 +57,8 @@
     Reachability reachability(const EndpointId&, Instant now);
 
 private:
+    EndpointId homeOf(const OrganisationId&);
+
     GroupId name;
     DataCentre dataCentre;
     Timers& timers;
@@ -64,6 +66,7 @@
     EndpointObserver& observer;
     std::map<EndpointId, std::shared_ptr<EndpointPool>> pools;
     std::map<EndpointId, Instant> laggingUntil;
+    std::map<OrganisationId, EndpointId> homes; ///< replica that serves the organisation's reads here
     std::vector<EndpointId> refusedAsPrimary;
     FreshnessLog log;
     std::map<uint64_t, std::function<void()>> actions;
--- a/src/Statements/StatementService.cpp
+++ b/src/Statements/StatementService.cpp
@@ -65,9 +65,7 @@
         if (!group)
             group = std::make_unique<GroupTraffic>(
                 name, this->options.dataCentre, this->clock, this->connector, static_cast<EndpointObserver&>(*this));
-        const uint32_t connections = this->current->findGroup(name)->connectionsPerEndpoint;
-        const uint32_t usable = connections - std::min(connections, this->options.reservedConnections);
-        group->update(endpoints, std::max(1U, usable / this->current->vmCount()));
+        group->update(endpoints, *this->current);
     }
     std::erase_if(this->groups, [&members](const auto& entry) {
         if (members.find(entry.first) != members.end())
--- a/src/Statements/StatementService.h
+++ b/src/Statements/StatementService.h
@@ -31,8 +31,6 @@
     Duration limitWindow = std::chrono::seconds(5);
     double limitTolerance = 0; ///< part of the limit
     uint32_t limitSlack = 0; ///< requests
-    /// Connections of an endpoint that VMs leave unused in total, for VMs that have just started.
-    uint32_t reservedConnections = 0;
     /// Pause before a statement that an endpoint was too busy for is sent again.
     Duration busyPause = std::chrono::milliseconds(10);
     ReachabilityPollSettings reachabilityPoll;
--- /dev/null
+++ b/tests/Fleet/DirectoryTest.cpp
@@ -0,0 +1,53 @@
+#include "Fleet/Directory.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace Lavendervane;
+
+BOOST_AUTO_TEST_SUITE(DirectoryTest)
+
+static Directory makeDirectory(FleetPlace place, uint32_t connections)
+{
+    SessionConfiguration configuration;
+    configuration.groups = { { GroupId("stock"), connections, 0 } };
+    configuration.organisations = { { OrganisationId("desk"), { "key-1", "key-2" }, {}, 0 } };
+    return { 1, std::make_shared<const SessionConfiguration>(configuration), {}, place, "secret" };
+}
+
+static RegisteredEndpoint endpoint(const std::string& id)
+{
+    RegisteredEndpoint made;
+    made.id = EndpointId(id);
+    made.group = GroupId("stock");
+    return made;
+}
+
+// More connections than the endpoint accepts would lock VMs out; fewer would leave some unused.
+BOOST_AUTO_TEST_CASE(ConnectionPart_AllVms_AddUpToWhatTheEndpointAccepts)
+{
+    for (const uint32_t vms : { 1U, 18U, 20U, 26U, 36U }) {
+        for (const char* id : { "a", "b", "c" }) {
+            uint32_t sum = 0;
+            for (uint32_t index = 0; index < vms; ++index)
+                sum += makeDirectory({ index, vms }, 36).connectionPart(endpoint(id));
+            BOOST_TEST(sum == 36U);
+        }
+    }
+}
+
+// With more VMs than connections every VM may still try one; the endpoint refuses what is too much.
+BOOST_AUTO_TEST_CASE(ConnectionPart_MoreVmsThanConnections_IsOne)
+{
+    for (uint32_t index = 0; index < 95; ++index)
+        BOOST_TEST(makeDirectory({ index, 95 }, 52).connectionPart(endpoint("a")) == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(FindOrganisation_ByDigestOfAnyKey_ReturnsHolder)
+{
+    const Directory directory = makeDirectory({}, 1);
+    BOOST_TEST(directory.findOrganisation(directory.keyDigest("key-2"))->name == OrganisationId("desk"));
+    BOOST_TEST(!directory.findOrganisation(directory.keyDigest("key-3")));
+    BOOST_TEST(!directory.findOrganisation("key-1"));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/Statements/CallerSessionTest.cpp
+++ b/tests/Statements/CallerSessionTest.cpp
@@ -78,6 +78,19 @@
     BOOST_TEST(this->connector.database("a").seen.back() == "READ x after 1.101");
 }
 
+// When replicas lag and the primary is busy for a moment, the read must be tried again, not refused for want of a primary.
+BOOST_AUTO_TEST_CASE(Read_ReplicasLagAndPrimaryBusy_IsTriedAgain)
+{
+    auto caller = this->open("own");
+    caller->send(StatementKind::Write, "WRITE x 1");
+    this->settle();
+    this->connector.database("a").refuseNext[StatementKind::Read] = AnswerCode::Busy;
+    caller->send(StatementKind::Read, "READ x");
+    this->timers.advance(150ms);
+    BOOST_REQUIRE(caller->answers.size() == 2U);
+    BOOST_TEST((caller->last().code == AnswerCode::Done));
+}
+
 // A lost answer leaves open whether the write was carried out; any other answer would invite a second write or lose one.
 BOOST_AUTO_TEST_CASE(Write_AnswerLost_IsInDoubtAndNotRepeated)
 {
