--- a/src/Fleet/Directory.h
+++ b/src/Fleet/Directory.h
@@ -90,8 +90,8 @@
 class Directory {
 public:
     /// Keys are looked up by digest under `digestKey`, so that a comparison tells nothing about other keys.
-    Directory(uint64_t number, std::shared_ptr<const SessionConfiguration>, std::vector<RegisteredEndpoint>,
-        FleetPlace, std::string digestKey);
+    Directory(uint64_t number, std::shared_ptr<const SessionConfiguration>, std::vector<RegisteredEndpoint>, FleetPlace,
+        std::string digestKey);
 
     /// Grows with each directory of this process.
     uint64_t number() const { return this->serial; }
--- a/src/Fleet/EntryDaemon.cpp
+++ b/src/Fleet/EntryDaemon.cpp
@@ -26,6 +26,9 @@
 // Interval at which a stopping VM looks whether all sessions have ended.
 static constexpr auto stopInterval = std::chrono::milliseconds(50);
 
+// Bound on giving shares back when the VM stops.
+static constexpr auto returnLimit = std::chrono::milliseconds(300);
+
 namespace {
 
 /// Answers the balancer's question whether this VM takes callers.
@@ -71,7 +74,8 @@
             { { "request", failed.id }, { "organisation", failed.organisation.str() }, { "database", failed.database },
                 { "code", std::string(toString(failed.code)) }, { "reason", failed.reason },
                 { "endpoint", failed.endpoint.str() },
-                { "took_us", std::to_string(std::chrono::duration_cast<std::chrono::microseconds>(failed.took).count()) },
+                { "took_us",
+                    std::to_string(std::chrono::duration_cast<std::chrono::microseconds>(failed.took).count()) },
                 { "attempts", std::to_string(failed.attempts) },
                 { "configuration", std::to_string(failed.configurationVersion) } });
     }
@@ -139,8 +143,8 @@
 
     void setDirectory(std::shared_ptr<const Directory> directory) override
     {
-        asio::post(this->trafficContext,
-            [this, directory = std::move(directory)] { this->service.setDirectory(directory); });
+        asio::post(
+            this->trafficContext, [this, directory = std::move(directory)] { this->service.setDirectory(directory); });
     }
 
     void applyShares(const ShareLedger::Shares& shares, Instant expiry) override
@@ -151,8 +155,7 @@
 
     void setPeers(std::vector<PeerAddress> peers) override
     {
-        asio::post(this->trafficContext,
-            [this, peers = std::move(peers)] { this->service.setPeers(peers); });
+        asio::post(this->trafficContext, [this, peers = std::move(peers)] { this->service.setPeers(peers); });
     }
 
     void askDemands(std::function<void(ShareLedger::Demands)> callback) override
@@ -166,9 +169,8 @@
 
     void announcePromotion(const AnnouncePromotion& effect) override
     {
-        asio::post(this->trafficContext, [this, effect] {
-            this->service.announcePromotion(effect.group, effect.endpoint, effect.expectedIn);
-        });
+        asio::post(this->trafficContext,
+            [this, effect] { this->service.announcePromotion(effect.group, effect.endpoint, effect.expectedIn); });
     }
 
     void askOpinions(const AskOpinions& effect, std::function<void(OpinionsCollected)> callback) override
@@ -177,8 +179,8 @@
             this->service.askOpinions(
                 effect.group, effect.endpoint, [this, effect, callback](ReachabilityOpinions opinions) {
                     this->postToControl(callback,
-                        OpinionsCollected { effect.group, effect.attempt, opinions.asked, opinions.reachable,
-                            opinions.unreachable });
+                        OpinionsCollected {
+                            effect.group, effect.attempt, opinions.asked, opinions.reachable, opinions.unreachable });
                 });
         });
     }
@@ -238,7 +240,8 @@
 
     template <typename Callback, typename Event> void postToControl(const Callback& callback, Event event)
     {
-        asio::post(this->controlContext, [callback, event = std::move(event)]() mutable { callback(std::move(event)); });
+        asio::post(
+            this->controlContext, [callback, event = std::move(event)]() mutable { callback(std::move(event)); });
     }
 
     void waitForSignal()
@@ -261,12 +264,9 @@
         this->log.write("stopping", {});
         const Instant now = this->controlTimers.now();
         const Duration limit = this->settings.stopLimit;
-        this->controlTimers.schedule(now + this->settings.balancerNotice, [this] {
-            this->closeSessions();
-        });
-        this->controlTimers.schedule(now + limit / 2, [this] {
-            asio::post(this->trafficContext, [this] { this->service.abortTransactions(); });
-        });
+        this->controlTimers.schedule(now + this->settings.balancerNotice, [this] { this->closeSessions(); });
+        this->controlTimers.schedule(now + limit / 2,
+            [this] { asio::post(this->trafficContext, [this] { this->service.abortTransactions(); }); });
         this->controlTimers.schedule(now + limit - this->settings.closingTime, [this] { this->endTraffic(); });
     }
 
@@ -298,9 +298,7 @@
             if (sessions)
                 this->log.write("sessions_cut", { { "count", std::to_string(sessions) } });
             this->service.shutDown();
-            asio::post(this->controlContext, [this] {
-                this->control.stop([this] { this->controlContext.stop(); });
-            });
+            asio::post(this->controlContext, [this] { this->control.stop([this] { this->controlContext.stop(); }); });
         });
     }
 
--- a/src/Fleet/EntryDaemon.h
+++ b/src/Fleet/EntryDaemon.h
@@ -28,8 +28,8 @@
     virtual ~EntryParts() = default;
 
     virtual std::unique_ptr<EndpointConnector> makeConnector(boost::asio::io_context& traffic) = 0;
-    virtual std::unique_ptr<CallerListener> makeCallerListener(
-        boost::asio::io_context& traffic, CallerHandlerFactory&) = 0;
+    virtual std::unique_ptr<CallerListener> makeCallerListener(boost::asio::io_context& traffic, CallerHandlerFactory&)
+        = 0;
     virtual std::unique_ptr<TableStore> makeTable(boost::asio::io_context& control) = 0;
 
     /// Called after makeTable; the feed may use the table, which outlives it.
--- a/src/Limits/LimitShares.cpp
+++ b/src/Limits/LimitShares.cpp
@@ -15,8 +15,7 @@
 
 void LimitShares::setLimits(const std::map<OrganisationId, Capacity>& limits, Instant now)
 {
-    std::erase_if(
-        this->entries, [&limits](const auto& entry) { return limits.find(entry.first) == limits.end(); });
+    std::erase_if(this->entries, [&limits](const auto& entry) { return limits.find(entry.first) == limits.end(); });
     for (const auto& [organisation, whole] : limits) {
         auto [entry, added] = this->entries.try_emplace(organisation);
         if (added)
--- a/src/Limits/LimitShares.h
+++ b/src/Limits/LimitShares.h
@@ -17,8 +17,8 @@
 static constexpr uint64_t oneRequest = 1000;
 
 /// This VM's shares of the organisations' limits. A share is a token bucket with that part of the limit's rate and
-/// burst. It starts empty, also after a restart or when it grows, so over all VMs together no window of any length holds
-/// more than the limit, whatever is shared out, lent, lost or restarted. Used on one thread.
+/// burst. It starts empty, also after a restart or when it grows, so over all VMs together no window of any length
+/// holds more than the limit, whatever is shared out, lent, lost or restarted. Used on one thread.
 class LimitShares {
 public:
     /// Limits of all VMs together; organisations that are missing are removed.
--- a/src/Limits/ShareKeeper.cpp
+++ b/src/Limits/ShareKeeper.cpp
@@ -26,8 +26,8 @@
     return { ReadLedger {} };
 }
 
-// An earlier run of this VM has ended, and its shares are still this VM's. Using them before the ledger names the new run
-// lets a VM serve as soon as it has read the ledger, also when all VMs start together and their writes conflict.
+// An earlier run of this VM has ended, and its shares are still this VM's. Using them before the ledger names the new
+// run lets a VM serve as soon as it has read the ledger, also when all VMs start together and their writes conflict.
 std::vector<ShareEffect> ShareKeeper::adopt(Instant now)
 {
     this->adopted = true;
@@ -147,8 +147,8 @@
         if (!this->accept(event.reply))
             return this->failed(now);
         this->busy = false;
-        this->conflictDelay = std::clamp(
-            2 * this->conflictDelay, this->settings.conflictPause, this->settings.longestConflictPause);
+        this->conflictDelay
+            = std::clamp(2 * this->conflictDelay, this->settings.conflictPause, this->settings.longestConflictPause);
         return { SetShareTimer { now + this->randomPart(this->conflictDelay) } };
     }
     if (status != TableStatus::Done) {
@@ -175,8 +175,8 @@
 std::vector<ShareEffect> ShareKeeper::failed(Instant now)
 {
     this->busy = false;
-    this->failureDelay = std::clamp(
-        2 * this->failureDelay, this->settings.failurePause, this->settings.longestFailurePause);
+    this->failureDelay
+        = std::clamp(2 * this->failureDelay, this->settings.failurePause, this->settings.longestFailurePause);
     return { SetShareTimer { now + this->failureDelay + this->randomPart(this->settings.failurePause) } };
 }
 
--- a/src/Limits/ShareKeeper.h
+++ b/src/Limits/ShareKeeper.h
@@ -46,20 +46,16 @@
     TableReply reply;
 };
 
-struct ShareTimerFired {
-};
+struct ShareTimerFired { };
 
 /// The process is about to stop; shares are given back.
-struct ShareStopRequested {
-};
+struct ShareStopRequested { };
 
 using ShareEvent = std::variant<DemandsMeasured, LedgerRead, LedgerWritten, ShareTimerFired, ShareStopRequested>;
 
-struct AskDemands {
-};
+struct AskDemands { };
 
-struct ReadLedger {
-};
+struct ReadLedger { };
 
 struct WriteLedger {
     TableTransaction transaction;
@@ -81,8 +77,7 @@
 };
 
 /// The shares have been given back, or could not be.
-struct SharesLeft {
-};
+struct SharesLeft { };
 
 using ShareEffect
     = std::variant<AskDemands, ReadLedger, WriteLedger, ApplyShares, SetShareTimer, FleetKnown, SharesLeft>;
--- a/src/Limits/ShareLedger.cpp
+++ b/src/Limits/ShareLedger.cpp
@@ -104,8 +104,7 @@
     entry.address = holder.peer.address;
     entry.untilMs = nowMs + settings.lifetimeMs;
     entry.demands = demands;
-    std::erase_if(
-        entry.shares, [&demands](const auto& share) { return demands.find(share.first) == demands.end(); });
+    std::erase_if(entry.shares, [&demands](const auto& share) { return demands.find(share.first) == demands.end(); });
     for (const auto& [organisation, demand] : demands) {
         uint32_t& share = entry.shares[organisation];
         uint32_t target = this->targetOf(holder.peer.vm, organisation, settings);
--- a/src/Promotion/PromotionMessages.h
+++ b/src/Promotion/PromotionMessages.h
@@ -164,8 +164,8 @@
     virtual ~PromotionOrders() = default;
 
     /// `holder` and `token` identify who orders; the platform refuses a lower token than it has seen for the group.
-    virtual void promote(const GroupId&, const EndpointId&, const VmId& holder, uint64_t token,
-        std::function<void(OrderStatus)>)
+    virtual void promote(
+        const GroupId&, const EndpointId&, const VmId& holder, uint64_t token, std::function<void(OrderStatus)>)
         = 0;
 };
 
--- a/src/Statements/CallerSession.cpp
+++ b/src/Statements/CallerSession.cpp
@@ -208,17 +208,17 @@
         this->admitted();
         return;
     }
-    const uint64_t number = this->service.admission().admit(
-        this->operation->organisation, [self = this->shared_from_this()](bool taken) {
-            if (!self->operation)
-                return;
-            self->operation->admissionWait = 0;
-            if (taken)
-                self->admitted();
-            else
-                self->finishOperation({ AnswerCode::TooMany, "", "rate limit; retry after 500 ms" },
-                    "the organisation's limit is used up");
-        });
+    const uint64_t number
+        = this->service.admission().admit(this->operation->organisation, [self = this->shared_from_this()](bool taken) {
+              if (!self->operation)
+                  return;
+              self->operation->admissionWait = 0;
+              if (taken)
+                  self->admitted();
+              else
+                  self->finishOperation({ AnswerCode::TooMany, "", "rate limit; retry after 500 ms" },
+                      "the organisation's limit is used up");
+          });
     // Without a wait, the operation may be over and another one begun.
     if (number && this->operation)
         this->operation->admissionWait = number;
@@ -250,7 +250,8 @@
     const Instant now = this->service.timers().now();
     GroupTraffic* group = this->service.findGroup(running.route.group);
     if (!group || now >= running.deadline || running.attempts >= maximumAttempts) {
-        this->finishOperation({ AnswerCode::Busy, "", "no endpoint available; retry after 200 ms" }, "no endpoint left");
+        this->finishOperation(
+            { AnswerCode::Busy, "", "no endpoint available; retry after 200 ms" }, "no endpoint left");
         return;
     }
     running.statement.requiredPosition.reset();
@@ -259,7 +260,8 @@
     if (!running.pool && running.statement.requiredPosition && !running.tried.empty()) {
         // All endpoints have been asked; replicas catch up and queues get shorter.
         running.tried.clear();
-        this->tryAgain(AnswerCode::Busy, "all endpoints lag or are busy", this->service.settings().busyPause * running.attempts);
+        this->tryAgain(
+            AnswerCode::Busy, "all endpoints lag or are busy", this->service.settings().busyPause * running.attempts);
         return;
     }
     if (!running.pool) {
@@ -277,15 +279,13 @@
 std::shared_ptr<EndpointPool> CallerSession::choose(GroupTraffic& group)
 {
     Operation& running = *this->operation;
-    const bool plainTransaction
-        = running.startsTransaction && running.statement.kind == StatementKind::Begin;
+    const bool plainTransaction = running.startsTransaction && running.statement.kind == StatementKind::Begin;
     if (!running.writes && !plainTransaction && running.route.consistency != Consistency::Primary) {
         std::optional<LogPosition> own;
         if (const auto commit = this->commits.find(group.id());
             commit != this->commits.end() && running.route.consistency == Consistency::OwnWrites)
             own = commit->second;
-        const auto required
-            = group.freshness().required(running.arrival - running.route.maxStaleness, own);
+        const auto required = group.freshness().required(running.arrival - running.route.maxStaleness, own);
         if (required) {
             running.statement.requiredPosition = required;
             return group.chooseForRead(*required, running.organisation, running.tried, this->service.timers().now());
@@ -396,12 +396,11 @@
             self->learnPosition(self->operation->route, sent, result.answers.back());
             std::vector<Statement> reading = self->withPrologue(connection, self->operation->statement);
             reading.push_back(ownStatement(StatementKind::Rollback));
-            connection->exchange(
-                reading, self->operation->deadline, [self, connection, sent](ExchangeResult inner) {
-                    if (inner.answered())
-                        inner.answers.pop_back();
-                    self->singleAnswered(connection, std::move(inner), sent);
-                });
+            connection->exchange(reading, self->operation->deadline, [self, connection, sent](ExchangeResult inner) {
+                if (inner.answered())
+                    inner.answers.pop_back();
+                self->singleAnswered(connection, std::move(inner), sent);
+            });
         });
 }
 
@@ -570,8 +569,8 @@
     if (!begin.requiredPosition)
         begin.kind = StatementKind::Begin; // without a known position only the primary may serve the transaction
     batch.push_back(begin);
-    connection->exchange(batch, this->operation->deadline,
-        [self = this->shared_from_this(), connection, sent](ExchangeResult result) {
+    connection->exchange(
+        batch, this->operation->deadline, [self = this->shared_from_this(), connection, sent](ExchangeResult result) {
             if (!self->operation || !self->transaction) {
                 connection->close();
                 return;
@@ -755,11 +754,10 @@
     const Duration limit = this->service.directory()->configuration().transactionIdleLimit;
     if (limit == Duration {} || !this->transaction->connection)
         return;
-    this->transaction->idleTimer
-        = this->service.timers().schedule(this->service.timers().now() + limit, [this] {
-              this->transaction->idleTimer.reset();
-              this->abortTransaction("the transaction was idle for too long");
-          });
+    this->transaction->idleTimer = this->service.timers().schedule(this->service.timers().now() + limit, [this] {
+        this->transaction->idleTimer.reset();
+        this->abortTransaction("the transaction was idle for too long");
+    });
 }
 
 // ---- Common parts
--- a/src/Statements/EndpointPool.cpp
+++ b/src/Statements/EndpointPool.cpp
@@ -113,7 +113,8 @@
     bool idle = false;
     for (const auto& connection : this->connections) {
         inUse += connection->state == PooledConnection::State::Waiting;
-        idle = idle || (connection->state == PooledConnection::State::Idle && connection->organisation() == organisation);
+        idle = idle
+            || (connection->state == PooledConnection::State::Idle && connection->organisation() == organisation);
     }
     const auto ahead = static_cast<int64_t>(inUse + this->waiters.size());
     Duration expected = this->meanTime + this->meanTime * ahead / std::max(1U, this->target.slots);
@@ -235,12 +236,12 @@
 {
     this->heard = this->timers.now();
     connection.cancelTimer();
-    connection.timer = this->timers.schedule(
-        this->heard + this->settings.openTimeout, [opening = connection.shared_from_this()] {
-            opening->timer.reset();
-            opening->link->close();
-            opening->linkFailed(LinkFailure::Rejected, AnswerCode::Busy, "the endpoint does not open the connection");
-        });
+    connection.timer
+        = this->timers.schedule(this->heard + this->settings.openTimeout, [opening = connection.shared_from_this()] {
+              opening->timer.reset();
+              opening->link->close();
+              opening->linkFailed(LinkFailure::Rejected, AnswerCode::Busy, "the endpoint does not open the connection");
+          });
 }
 
 void EndpointPool::connectionOpened(PooledConnection& connection)
@@ -255,14 +256,13 @@
     this->dispatch();
 }
 
-void EndpointPool::connectionFailed(PooledConnection& connection, LinkFailure failure, AnswerCode code,
-    const std::string& message, bool whileOpening)
+void EndpointPool::connectionFailed(
+    PooledConnection& connection, LinkFailure failure, AnswerCode code, const std::string& message, bool whileOpening)
 {
     this->remove(connection);
     if (whileOpening && failure == LinkFailure::Rejected && (code == AnswerCode::TooMany || code == AnswerCode::Busy)) {
         this->heard = this->timers.now();
-        this->fullPause
-            = std::clamp(2 * this->fullPause, this->settings.fullPause, this->settings.longestFullPause);
+        this->fullPause = std::clamp(2 * this->fullPause, this->settings.fullPause, this->settings.longestFullPause);
         this->fullUntil = this->heard + this->fullPause;
         this->timers.schedule(this->fullUntil, [weak = this->weak_from_this()] {
             if (const auto self = weak.lock())
--- a/src/Statements/GroupInspector.cpp
+++ b/src/Statements/GroupInspector.cpp
@@ -24,8 +24,8 @@
     });
 }
 
-void inspectEndpoints(GroupTraffic& group, const std::vector<EndpointId>& endpoints,
-    const OrganisationId& organisation, Instant deadline, const StatusesCallback& callback)
+void inspectEndpoints(GroupTraffic& group, const std::vector<EndpointId>& endpoints, const OrganisationId& organisation,
+    Instant deadline, const StatusesCallback& callback)
 {
     struct Collection {
         std::map<EndpointId, EndpointStatus> statuses;
@@ -53,8 +53,8 @@
     finishOne();
 }
 
-void stepDownPrimary(GroupTraffic& group, const EndpointId& endpoint, uint64_t term,
-    const OrganisationId& organisation, Instant deadline, const StatusCallback& callback)
+void stepDownPrimary(GroupTraffic& group, const EndpointId& endpoint, uint64_t term, const OrganisationId& organisation,
+    Instant deadline, const StatusCallback& callback)
 {
     const auto pool = group.find(endpoint);
     if (!pool) {
--- a/src/Statements/GroupTraffic.cpp
+++ b/src/Statements/GroupTraffic.cpp
@@ -11,8 +11,8 @@
 static constexpr Duration otherDataCentreCost = std::chrono::milliseconds(3);
 // Expected extra cost of a replica that mostly serves other organisations of this VM: its connections belong to them.
 static constexpr Duration otherHomeCost = std::chrono::milliseconds(10);
-// Reads prefer replicas unless the primary is expected to answer this much sooner. More than the opening of a connection,
-// or reads would stay where connections are already.
+// Reads prefer replicas unless the primary is expected to answer this much sooner. More than the opening of a
+// connection, or reads would stay where connections are already.
 static constexpr Duration primaryPenalty = std::chrono::milliseconds(40);
 
 // A sign of life this young shows that the endpoint is reachable.
@@ -83,8 +83,8 @@
         this->refusedAsPrimary.push_back(endpoint);
 }
 
-std::shared_ptr<EndpointPool> GroupTraffic::chooseForRead(const LogPosition& required,
-    const OrganisationId& organisation, const std::vector<EndpointId>& tried, Instant now)
+std::shared_ptr<EndpointPool> GroupTraffic::chooseForRead(
+    const LogPosition& required, const OrganisationId& organisation, const std::vector<EndpointId>& tried, Instant now)
 {
     const EndpointId home = this->homeOf(organisation);
     std::vector<ReadCandidate> candidates;
--- a/src/Statements/GroupTraffic.h
+++ b/src/Statements/GroupTraffic.h
@@ -30,8 +30,8 @@
     void primaryRefused(const EndpointId&);
 
     /// Endpoint for a read that must find the position; null if none is left.
-    std::shared_ptr<EndpointPool> chooseForRead(const LogPosition& required, const OrganisationId&,
-        const std::vector<EndpointId>& tried, Instant now);
+    std::shared_ptr<EndpointPool> chooseForRead(
+        const LogPosition& required, const OrganisationId&, const std::vector<EndpointId>& tried, Instant now);
 
     /// The endpoint lacked a position that others hold.
     void markLagging(const EndpointId&, Instant now);
--- a/src/Statements/PooledConnection.cpp
+++ b/src/Statements/PooledConnection.cpp
@@ -36,8 +36,7 @@
 // One timer serves both the suspicion of a silent endpoint and the deadline.
 void PooledConnection::scheduleCheck(Instant deadline)
 {
-    const Instant suspicion
-        = this->home ? this->since + this->home->poolSettings().suspicionTime : deadline;
+    const Instant suspicion = this->home ? this->since + this->home->poolSettings().suspicionTime : deadline;
     const bool early = suspicion < deadline && this->timers.now() < suspicion;
     this->timer = this->timers.schedule(early ? suspicion : deadline, [this, deadline, early] {
         this->timer.reset();
--- a/src/Statements/ReachabilityPoll.cpp
+++ b/src/Statements/ReachabilityPoll.cpp
@@ -52,12 +52,11 @@
         if (answer == Reachability::Unknown)
             this->transport.send(address, ReachabilityRequest { number, question.group, question.endpoint });
     }
-    question.timer
-        = this->timers.schedule(this->timers.now() + this->settings.roundInterval, [this, number] {
-              Question& asked = this->questions.at(number);
-              if (!this->finishIfCertain(number, asked.round >= this->settings.rounds))
-                  this->sendRound(number, asked);
-          });
+    question.timer = this->timers.schedule(this->timers.now() + this->settings.roundInterval, [this, number] {
+        Question& asked = this->questions.at(number);
+        if (!this->finishIfCertain(number, asked.round >= this->settings.rounds))
+            this->sendRound(number, asked);
+    });
 }
 
 void ReachabilityPoll::replyReceived(const std::string& sender, const ReachabilityReply& reply)
--- a/src/Statements/RequestAdmission.cpp
+++ b/src/Statements/RequestAdmission.cpp
@@ -92,19 +92,19 @@
     waiting.asked.push_back(*lender);
     waiting.question = ++this->lastNumber;
     const uint64_t question = waiting.question;
-    waiting.timer = this->timers.schedule(
-        this->timers.now() + this->settings.lenderTimeout, [this, organisation, question] {
-            Waiting& late = this->organisations[organisation];
-            late.timer.reset();
-            if (late.question != question)
-                return;
-            if (late.lastLender == late.asked.back())
-                late.lastLender.clear();
-            late.question = 0;
-            this->askNext(organisation, late);
-        });
-    const uint64_t wanted = std::max(this->shares.worthBorrowing(organisation, this->timers.now()),
-        waiting.waiters.size() * oneRequest);
+    waiting.timer
+        = this->timers.schedule(this->timers.now() + this->settings.lenderTimeout, [this, organisation, question] {
+              Waiting& late = this->organisations[organisation];
+              late.timer.reset();
+              if (late.question != question)
+                  return;
+              if (late.lastLender == late.asked.back())
+                  late.lastLender.clear();
+              late.question = 0;
+              this->askNext(organisation, late);
+          });
+    const uint64_t wanted
+        = std::max(this->shares.worthBorrowing(organisation, this->timers.now()), waiting.waiters.size() * oneRequest);
     this->transport.send(*lender, TokenRequest { question, organisation, wanted });
 }
 
--- a/src/Statements/StatementService.cpp
+++ b/src/Statements/StatementService.cpp
@@ -33,8 +33,8 @@
     return session;
 }
 
-// Limit of all VMs together as a token bucket. What a window may hold beyond the stated limit goes into the rate, because
-// the burst is the operators' statement of how much may come at once.
+// Limit of all VMs together as a token bucket. What a window may hold beyond the stated limit goes into the rate,
+// because the burst is the operators' statement of how much may come at once.
 static Capacity capacityOf(const RateLimit& limit, const StatementServiceSettings& settings)
 {
     const double seconds = std::chrono::duration<double>(settings.limitWindow).count();
@@ -161,8 +161,8 @@
         callback(std::nullopt);
         return;
     }
-    stepDownPrimary(*group, endpoint, term, this->anyOrganisation(),
-        this->clock.now() + this->options.inspectionTimeout, callback);
+    stepDownPrimary(
+        *group, endpoint, term, this->anyOrganisation(), this->clock.now() + this->options.inspectionTimeout, callback);
 }
 
 void StatementService::askOpinions(
--- a/src/Statements/StatementService.h
+++ b/src/Statements/StatementService.h
@@ -55,7 +55,8 @@
 /// Sessions, groups and limits of one traffic thread. All calls must be made on that thread.
 class StatementService : public CallerHandlerFactory, public PeerListener, private EndpointObserver {
 public:
-    StatementService(StatementServiceSettings, Timers&, EndpointConnector&, PeerTransport&, TrafficDemands&, TrafficLog&);
+    StatementService(
+        StatementServiceSettings, Timers&, EndpointConnector&, PeerTransport&, TrafficDemands&, TrafficLog&);
     ~StatementService() override;
 
     StatementService(const StatementService&) = delete;
--- a/tests/Limits/ShareKeeperTest.cpp
+++ b/tests/Limits/ShareKeeperTest.cpp
@@ -80,8 +80,7 @@
     this->firstWrite();
     ShareLedger other;
     other.renew({ { VmId("vm-2"), DataCentre("dc"), "10.0.0.2:1" }, "run" }, { { desk, 0 } }, 5000, {});
-    this->keeper.handle(
-        LedgerWritten { this->reply(TableStatus::Conflict, 12, other.serialise()) }, this->now);
+    this->keeper.handle(LedgerWritten { this->reply(TableStatus::Conflict, 12, other.serialise()) }, this->now);
     this->keeper.handle(ShareTimerFired {}, this->now + 50ms);
     const auto again = this->keeper.handle(DemandsMeasured { { { desk, 0 } } }, this->now + 50ms);
     BOOST_REQUIRE(find<WriteLedger>(again));
@@ -95,11 +94,11 @@
     this->keeper.handle(LedgerWritten { this->reply(TableStatus::Done, 9, "") }, this->now);
     ShareLedger crowded;
     for (int vm = 1; vm <= 40; ++vm)
-        crowded.renew({ { VmId("vm-" + std::to_string(vm)), DataCentre("dc"), "" }, "run-1" }, { { desk, 0 } }, 5000, {});
+        crowded.renew(
+            { { VmId("vm-" + std::to_string(vm)), DataCentre("dc"), "" }, "run-1" }, { { desk, 0 } }, 5000, {});
     this->keeper.handle(ShareTimerFired {}, this->now + 3s);
     this->keeper.handle(DemandsMeasured { { { desk, 0 } } }, this->now + 3s);
-    this->keeper.handle(
-        LedgerWritten { this->reply(TableStatus::Conflict, 20, crowded.serialise()) }, this->now + 3s);
+    this->keeper.handle(LedgerWritten { this->reply(TableStatus::Conflict, 20, crowded.serialise()) }, this->now + 3s);
     this->keeper.handle(ShareTimerFired {}, this->now + 4s);
     const auto writing = this->keeper.handle(DemandsMeasured { { { desk, 0 } } }, this->now + 4s);
     BOOST_REQUIRE(find<WriteLedger>(writing));
@@ -119,8 +118,8 @@
 BOOST_AUTO_TEST_CASE(Start_LedgerHoldsSharesOfEarlierRun_AppliesThemAtOnce)
 {
     ShareLedger ledger;
-    const auto shares = ledger.renew(
-        { { VmId("vm-1"), DataCentre("dc"), "10.0.0.1:1" }, "earlier" }, { { desk, 0 } }, 4000, {});
+    const auto shares
+        = ledger.renew({ { VmId("vm-1"), DataCentre("dc"), "10.0.0.1:1" }, "earlier" }, { { desk, 0 } }, 4000, {});
     this->keeper.start(this->now);
     const auto effects
         = this->keeper.handle(LedgerRead { this->reply(TableStatus::Done, 4, ledger.serialise()) }, this->now);
--- /dev/null
+++ b/tests/Peers/PeerMessagesTest.cpp
@@ -0,0 +1,34 @@
+#include "Peers/PeerMessages.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <vector>
+
+using namespace Lavendervane;
+
+BOOST_AUTO_TEST_SUITE(PeerMessagesTest)
+
+BOOST_AUTO_TEST_CASE(Encode_EachKind_DecodesToSame)
+{
+    const std::vector<PeerMessage> messages { TokenRequest { 7, OrganisationId("desk"), 2500 },
+        TokenReply { 7, OrganisationId("desk"), 1000 }, ReachabilityRequest { 8, GroupId("stock"), EndpointId("a") },
+        ReachabilityReply { 8, EndpointId("a"), Reachability::Unreachable },
+        PromotionNotice { GroupId("stock"), EndpointId("b"), 900 } };
+    for (const PeerMessage& message : messages) {
+        const auto decoded = decodePeerMessage(encodePeerMessage(message));
+        BOOST_REQUIRE(decoded);
+        BOOST_TEST((*decoded == message));
+    }
+}
+
+// Datagrams may come from anyone and be cut anywhere; none may end the process or pass for another message.
+BOOST_AUTO_TEST_CASE(Decode_CutOrGarbage_ReturnsNothing)
+{
+    const std::string whole = encodePeerMessage(TokenRequest { 7, OrganisationId("desk"), 2500 });
+    for (size_t length = 0; length < whole.size(); ++length)
+        BOOST_TEST(!decodePeerMessage(whole.substr(0, length)));
+    for (const char* text : { "garbage", "\x80", "\x81\x18\x63", "\x84\x01\x01\x01\x01" })
+        BOOST_TEST(!decodePeerMessage(text));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/Promotion/PromotionKeeperTest.cpp
@@ -0,0 +1,239 @@
+#include "Promotion/PromotionKeeper.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace Lavendervane;
+using namespace std::chrono_literals;
+
+namespace {
+
+const GroupId stock("stock");
+const EndpointId a("a");
+const EndpointId b("b");
+const EndpointId c("c");
+
+RegisteredEndpoint endpoint(const EndpointId& id, EndpointRole role, bool draining = false)
+{
+    RegisteredEndpoint made;
+    made.id = id;
+    made.group = stock;
+    made.role = role;
+    made.draining = draining;
+    return made;
+}
+
+struct KeeperFixture {
+    KeeperFixture()
+    {
+        this->handle(FleetSeen { { VmId("vm-1") } });
+        this->registry(EndpointRole::Primary, EndpointRole::Replica);
+    }
+
+    std::vector<PromotionEffect> handle(const PromotionEvent& event)
+    {
+        this->effects = this->keeper.handle(event, this->now);
+        for (const PromotionEffect& effect : this->effects) {
+            if (const auto* timer = std::get_if<SetPromotionTimer>(&effect))
+                this->timer = *timer;
+        }
+        return this->effects;
+    }
+
+    void registry(EndpointRole roleOfA, EndpointRole roleOfB, bool drainingA = false)
+    {
+        this->handle(RegistrySeen { { endpoint(a, roleOfA, drainingA), endpoint(b, roleOfB), endpoint(c, EndpointRole::Replica) } });
+    }
+
+    void fireTimer()
+    {
+        this->now = std::max(this->now, this->timer.when);
+        this->handle(PromotionTimer { this->timer.group, this->timer.attempt });
+    }
+
+    template <typename Effect> const Effect* find() const
+    {
+        for (const PromotionEffect& effect : this->effects) {
+            if (const auto* found = std::get_if<Effect>(&effect))
+                return found;
+        }
+        return nullptr;
+    }
+
+    TableReply reply(TableStatus status, uint64_t revision, const std::string& value = "") const
+    {
+        TableReply made;
+        made.result.status = status;
+        made.result.rows = { { PromotionKeeper::claimKey(stock), revision, value } };
+        made.revision = revision;
+        made.clock = { 10'000, this->now, this->now };
+        return made;
+    }
+
+    static EndpointStatus status(uint64_t position, EndpointRole role = EndpointRole::Replica)
+    {
+        return { role, 1, { { 1, {} }, position } };
+    }
+
+    /// Brings an unplanned promotion to the inspection of the replicas.
+    uint64_t reachInspection()
+    {
+        this->handle(EndpointReachability { stock, a, false });
+        this->fireTimer();
+        const uint64_t attempt = this->find<AskOpinions>()->attempt;
+        this->handle(OpinionsCollected { stock, attempt, 9, 2, 7 });
+        this->handle(ClaimRead { stock, attempt, this->reply(TableStatus::Done, 0) });
+        this->handle(ClaimWritten { stock, attempt, this->reply(TableStatus::Done, 41) });
+        return attempt;
+    }
+
+    PromotionKeeper keeper { VmId("vm-1"), "run-1", {} };
+    Instant now { 100s };
+    std::vector<PromotionEffect> effects;
+    SetPromotionTimer timer;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(PromotionKeeperTest, KeeperFixture)
+
+// A promotion rolls back what the chosen replica lacks, so the one that holds most must be chosen.
+BOOST_AUTO_TEST_CASE(Primary_UnreachableForMost_PromotesReplicaFurthestAhead)
+{
+    const uint64_t attempt = this->reachInspection();
+    BOOST_REQUIRE(this->find<InspectEndpoints>());
+    this->handle(EndpointsInspected { stock, attempt, { { b, status(50) }, { c, status(52) } } });
+    const auto* order = this->find<OrderPromotion>();
+    BOOST_REQUIRE(order);
+    BOOST_TEST(order->endpoint == c);
+    BOOST_TEST(order->token == 41U);
+}
+
+// One VM's cut link is no dead primary; promoting would throw acknowledged writes away.
+BOOST_AUTO_TEST_CASE(Primary_UnreachableForFewVms_IsKept)
+{
+    this->handle(EndpointReachability { stock, a, false });
+    this->fireTimer();
+    const auto* ask = this->find<AskOpinions>();
+    BOOST_REQUIRE(ask);
+    this->handle(OpinionsCollected { stock, ask->attempt, 9, 5, 4 });
+    BOOST_TEST(!this->find<ReadClaim>());
+    BOOST_TEST(this->find<SetPromotionTimer>());
+}
+
+BOOST_AUTO_TEST_CASE(Primary_ReachableAgainBeforeTurn_IsKept)
+{
+    this->handle(EndpointReachability { stock, a, false });
+    this->handle(EndpointReachability { stock, a, true });
+    this->fireTimer();
+    BOOST_TEST(!this->find<AskOpinions>());
+}
+
+// Two VMs must not act at the same time.
+BOOST_AUTO_TEST_CASE(Claim_HeldByAnotherVm_OrdersNothing)
+{
+    this->handle(EndpointReachability { stock, a, false });
+    this->fireTimer();
+    const uint64_t attempt = this->find<AskOpinions>()->attempt;
+    this->handle(OpinionsCollected { stock, attempt, 9, 0, 9 });
+    this->handle(ClaimRead { stock, attempt, this->reply(TableStatus::Done, 7, R"({"run":"other","until":12000})") });
+    BOOST_TEST(!this->find<WriteClaim>());
+}
+
+BOOST_AUTO_TEST_CASE(Claim_OfAnotherVmExpired_IsTakenOnItsRevision)
+{
+    this->handle(EndpointReachability { stock, a, false });
+    this->fireTimer();
+    const uint64_t attempt = this->find<AskOpinions>()->attempt;
+    this->handle(OpinionsCollected { stock, attempt, 9, 0, 9 });
+    this->handle(ClaimRead { stock, attempt, this->reply(TableStatus::Done, 7, R"({"run":"other","until":9000})") });
+    BOOST_REQUIRE(this->find<WriteClaim>());
+    BOOST_TEST(this->find<WriteClaim>()->transaction.conditions.front().revision == 7U);
+}
+
+// A claim whose write has no answer may be held or not; without certainty there is no token.
+BOOST_AUTO_TEST_CASE(Claim_AnswerLost_OrdersNothing)
+{
+    this->handle(EndpointReachability { stock, a, false });
+    this->fireTimer();
+    const uint64_t attempt = this->find<AskOpinions>()->attempt;
+    this->handle(OpinionsCollected { stock, attempt, 9, 0, 9 });
+    this->handle(ClaimRead { stock, attempt, this->reply(TableStatus::Done, 0) });
+    this->handle(ClaimWritten { stock, attempt, this->reply(TableStatus::Unknown, 0) });
+    BOOST_TEST(!this->find<InspectEndpoints>());
+    BOOST_TEST(this->find<SetPromotionTimer>());
+}
+
+// A refused token must never be used again, and a lost order may still be carried out: both need a new claim.
+BOOST_AUTO_TEST_CASE(Order_RefusedOrWithoutEffect_NeedsNewClaim)
+{
+    for (const OrderStatus status : { OrderStatus::Refused, OrderStatus::Unknown }) {
+        KeeperFixture fresh;
+        const uint64_t attempt = fresh.reachInspection();
+        fresh.handle(EndpointsInspected { stock, attempt, { { b, KeeperFixture::status(50) } } });
+        fresh.handle(OrderAnswered { stock, attempt, status });
+        BOOST_TEST(!fresh.find<OrderPromotion>());
+        fresh.fireTimer();
+        if (status == OrderStatus::Unknown)
+            fresh.fireTimer();
+        BOOST_REQUIRE(fresh.find<AskOpinions>());
+        BOOST_TEST(fresh.find<AskOpinions>()->attempt != attempt);
+    }
+}
+
+// A leaving primary still holds writes that replicas lack; they must catch up before it is replaced.
+BOOST_AUTO_TEST_CASE(Primary_Leaving_StepsDownAndReplicaCatchesUpFirst)
+{
+    this->registry(EndpointRole::Primary, EndpointRole::Replica, true);
+    this->fireTimer();
+    const auto* read = this->find<ReadClaim>();
+    BOOST_REQUIRE(read);
+    const uint64_t attempt = read->attempt;
+    this->handle(ClaimRead { stock, attempt, this->reply(TableStatus::Done, 0) });
+    this->handle(ClaimWritten { stock, attempt, this->reply(TableStatus::Done, 5) });
+    this->handle(EndpointsInspected { stock, attempt,
+        { { a, status(60, EndpointRole::Primary) }, { b, status(58) }, { c, status(57) } } });
+    BOOST_REQUIRE(this->find<StepDownPrimary>());
+    BOOST_TEST(this->find<StepDownPrimary>()->term == 2U);
+    this->handle(SteppedDown { stock, attempt, status(61) });
+    this->handle(EndpointsInspected { stock, attempt, { { b, status(58) }, { c, status(60) } } });
+    BOOST_TEST(!this->find<OrderPromotion>());
+    this->fireTimer();
+    this->handle(EndpointsInspected { stock, attempt, { { b, status(61) }, { c, status(60) } } });
+    BOOST_REQUIRE(this->find<OrderPromotion>());
+    BOOST_TEST(this->find<OrderPromotion>()->endpoint == b);
+}
+
+// The registry shows no primary between step-down and promotion; that must not start a second promotion.
+BOOST_AUTO_TEST_CASE(Registry_PrimaryGoneWhileOrdering_StartsNoSecondOrder)
+{
+    const uint64_t attempt = this->reachInspection();
+    this->handle(EndpointsInspected { stock, attempt, { { b, status(50) } } });
+    this->registry(EndpointRole::Replica, EndpointRole::Replica);
+    BOOST_TEST(!this->find<SetPromotionTimer>());
+    this->handle(OrderAnswered { stock, attempt, OrderStatus::Accepted });
+    BOOST_TEST(this->find<AnnouncePromotion>());
+    this->registry(EndpointRole::Replica, EndpointRole::Primary);
+    BOOST_TEST((this->keeper.primaryOf(stock) == b));
+    this->fireTimer();
+    BOOST_TEST(this->effects.empty());
+}
+
+// An old primary that has not noticed its replacement must not be taken for the primary again.
+BOOST_AUTO_TEST_CASE(Registry_TwoPrimaries_TheLaterCounts)
+{
+    this->registry(EndpointRole::Primary, EndpointRole::Primary);
+    BOOST_TEST((this->keeper.primaryOf(stock) == b));
+    this->handle(RegistrySeen { { endpoint(a, EndpointRole::Primary), endpoint(b, EndpointRole::Primary) } });
+    BOOST_TEST((this->keeper.primaryOf(stock) == b));
+}
+
+// While another VM acts, this one waits until its order should have shown an effect.
+BOOST_AUTO_TEST_CASE(Notice_OfAnotherVm_DelaysOwnTurn)
+{
+    this->handle(PromotionNoticed { stock });
+    this->handle(EndpointReachability { stock, a, false });
+    BOOST_TEST(!this->find<SetPromotionTimer>());
+    BOOST_TEST((this->timer.when - this->now >= 3s));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/Statements/CallerSessionTest.cpp
+++ b/tests/Statements/CallerSessionTest.cpp
@@ -17,7 +17,8 @@
     auto caller = this->open("strong");
     caller->send(StatementKind::Read, "READ x");
     this->settle();
-    BOOST_TEST(this->connector.database("a").seen == (Seen { "begin", "READ x", "rollback" }), boost::test_tools::per_element());
+    BOOST_TEST(this->connector.database("a").seen == (Seen { "begin", "READ x", "rollback" }),
+        boost::test_tools::per_element());
     BOOST_TEST((caller->last().code == AnswerCode::Done));
     BOOST_TEST(caller->last().result == "row READ x");
 }
@@ -47,7 +48,8 @@
     this->connector.database("a").seen.clear();
     caller->send(StatementKind::Read, "READ y");
     this->settle();
-    BOOST_TEST(this->connector.database("a").seen == (Seen { "begin", "READ y", "rollback" }), boost::test_tools::per_element());
+    BOOST_TEST(this->connector.database("a").seen == (Seen { "begin", "READ y", "rollback" }),
+        boost::test_tools::per_element());
 }
 
 // A session must see its own commits, also at a replica.
@@ -78,7 +80,8 @@
     BOOST_TEST(this->connector.database("a").seen.back() == "READ x after 1.101");
 }
 
-// When replicas lag and the primary is busy for a moment, the read must be tried again, not refused for want of a primary.
+// When replicas lag and the primary is busy for a moment, the read must be tried again, not refused for want of a
+// primary.
 BOOST_AUTO_TEST_CASE(Read_ReplicasLagAndPrimaryBusy_IsTriedAgain)
 {
     auto caller = this->open("own");
@@ -91,7 +94,8 @@
     BOOST_TEST((caller->last().code == AnswerCode::Done));
 }
 
-// A lost answer leaves open whether the write was carried out; any other answer would invite a second write or lose one.
+// A lost answer leaves open whether the write was carried out; any other answer would invite a second write or lose
+// one.
 BOOST_AUTO_TEST_CASE(Write_AnswerLost_IsInDoubtAndNotRepeated)
 {
     auto caller = this->open("own");
--- a/tests/Statements/EndpointChoiceTest.cpp
+++ b/tests/Statements/EndpointChoiceTest.cpp
@@ -18,7 +18,8 @@
     return made;
 }
 
-static std::optional<EndpointId> choose(const std::vector<ReadCandidate>& candidates, std::vector<EndpointId> tried = {})
+static std::optional<EndpointId> choose(
+    const std::vector<ReadCandidate>& candidates, std::vector<EndpointId> tried = {})
 {
     return chooseForRead(candidates, required, tried, 15ms, now);
 }
--- a/tests/Statements/EndpointPoolTest.cpp
+++ b/tests/Statements/EndpointPoolTest.cpp
@@ -110,7 +110,7 @@
     this->acquire("desk");
     this->timers.advance(20ms);
     const auto connection = this->results[0]->connection;
-    connection->exchange({ ownStatement(StatementKind::Begin) }, this->timers.now() + 1s, [](const ExchangeResult&) { });
+    connection->exchange({ ownStatement(StatementKind::Begin) }, this->timers.now() + 1s, [](const ExchangeResult&) {});
     this->timers.advance(20ms);
     this->pool->release(connection);
     BOOST_TEST(!connection->alive());
@@ -169,7 +169,7 @@
     this->timers.advance(20ms);
     this->connector.database("a").silent = true;
     this->results[0]->connection->exchange(
-        { ownStatement(StatementKind::Status) }, this->timers.now() + 2s, [](const ExchangeResult&) { });
+        { ownStatement(StatementKind::Status) }, this->timers.now() + 2s, [](const ExchangeResult&) {});
     this->timers.advance(1s);
     BOOST_TEST(this->pool->reachable());
 }
--- a/tests/Statements/FakeDatabases.cpp
+++ b/tests/Statements/FakeDatabases.cpp
@@ -52,7 +52,8 @@
         }
         if (this->database.silent)
             return;
-        this->later([this, answers = std::move(answers)]() mutable { this->listener->linkAnswered(std::move(answers)); });
+        this->later(
+            [this, answers = std::move(answers)]() mutable { this->listener->linkAnswered(std::move(answers)); });
     }
 
     void close() override
@@ -102,8 +103,7 @@
         }
         if (statement.requiredPosition && this->database.position < *statement.requiredPosition)
             return AnswerCode::Lagging;
-        const bool needsPrimary
-            = statement.kind == StatementKind::Begin || statement.kind == StatementKind::Write;
+        const bool needsPrimary = statement.kind == StatementKind::Begin || statement.kind == StatementKind::Write;
         if (needsPrimary && this->database.role != EndpointRole::Primary)
             return AnswerCode::ReadOnly;
         return AnswerCode::Done;
@@ -137,8 +137,8 @@
             this->state = TransactionState::Idle;
             break;
         case StatementKind::Status:
-            reply.status = EndpointStatus { this->database.role, this->database.position.term.counter,
-                this->database.position };
+            reply.status
+                = EndpointStatus { this->database.role, this->database.position.term.counter, this->database.position };
             break;
         case StatementKind::StepDown:
             this->database.role = EndpointRole::Replica;
@@ -194,8 +194,7 @@
 
 std::shared_ptr<EndpointLink> FakeConnector::connect(const LinkTarget& target, LinkListener& listener)
 {
-    auto link = std::make_shared<FakeLink>(
-        this->timers, this->databases[target.endpoint.str()], listener, this->delay);
+    auto link = std::make_shared<FakeLink>(this->timers, this->databases[target.endpoint.str()], listener, this->delay);
     link->open(target.organisation);
     return link;
 }
--- a/tests/Statements/RequestAdmissionTest.cpp
+++ b/tests/Statements/RequestAdmissionTest.cpp
@@ -131,8 +131,7 @@
             for (size_t last = first; last < this->admitted.size(); ++last) {
                 const double seconds
                     = std::chrono::duration<double>(this->admitted[last] - this->admitted[first]).count();
-                const double allowed
-                    = static_cast<double>(this->burst) + static_cast<double>(this->rate) * seconds;
+                const double allowed = static_cast<double>(this->burst) + static_cast<double>(this->rate) * seconds;
                 worst = std::max(worst, static_cast<double>(last - first + 1) - allowed);
             }
         }
--- a/tests/Statements/ServiceFixture.h
+++ b/tests/Statements/ServiceFixture.h
@@ -57,7 +57,10 @@
 /// Messages between VMs end here.
 class FakeTransport : public PeerTransport {
 public:
-    void send(const std::string& address, const PeerMessage& message) override { this->sent.emplace_back(address, message); }
+    void send(const std::string& address, const PeerMessage& message) override
+    {
+        this->sent.emplace_back(address, message);
+    }
     void setListener(PeerListener*) override { }
 
     std::vector<std::pair<std::string, PeerMessage>> sent;
