Take isolated VMs out of the rotation

Change: a VM that reaches no primary in most groups for 0.7 s says that it is not ready, closes sessions between operations once the balancer has noticed, and is ready again as soon as it reaches them. IsolationWatch decides; tested alone and with the service.

--- a/src/Fleet/EntryDaemon.cpp
+++ b/src/Fleet/EntryDaemon.cpp
@@ -116,7 +116,7 @@
         readiness.address = this->settings.readinessAddress;
         this->readinessServer.emplace(this->controlContext, readiness, [this] {
             return std::make_shared<ReadinessHandler>(
-                this->settings.readinessPath, [this] { return !this->stopping && this->control.ready(); });
+                this->settings.readinessPath, [this] { return !this->stopping && !this->isolated && this->control.ready(); });
         });
     }
 
@@ -212,6 +212,14 @@
         });
     }
 
+    void callersWanted(bool wanted) override
+    {
+        asio::post(this->controlContext, [this, wanted] {
+            this->log.write(wanted ? "ready_again" : "isolated", {});
+            this->isolated = !wanted;
+        });
+    }
+
     void promotionNoticed(const GroupId& group) override
     {
         asio::post(this->controlContext, [this, group] { this->control.promotionEvent(PromotionNoticed { group }); });
@@ -320,6 +328,7 @@
     asio::signal_set signals;
     std::optional<HttpServer> readinessServer;
     bool stopping = false;
+    bool isolated = false;
     bool ending = false;
 };
 
--- a/src/Statements/CallerSession.cpp
+++ b/src/Statements/CallerSession.cpp
@@ -466,6 +466,8 @@
     Duration pause {};
     if (reply.code == AnswerCode::ReadOnly && group)
         group->primaryRefused(endpoint);
+    if (reply.code == AnswerCode::ReadOnly)
+        this->service.checkIsolation();
     if (reply.code == AnswerCode::Lagging && group)
         group->markLagging(endpoint, this->service.timers().now());
     if (running.statement.requiredPosition)
@@ -781,7 +783,7 @@
     this->link->answer(final);
     if (this->transaction && !this->transaction->failed)
         this->watchIdleTransaction();
-    if (this->wantsClose)
+    if (this->service.closing())
         this->closeWhenIdle();
 }
 
@@ -824,7 +826,6 @@
 
 void CallerSession::closeWhenIdle()
 {
-    this->wantsClose = true;
     if (this->outstanding || this->transaction || !this->link)
         return;
     this->link->close();
--- a/src/Statements/CallerSession.h
+++ b/src/Statements/CallerSession.h
@@ -126,7 +126,6 @@
     std::string keyDigest;
     bool opened = false;
     bool outstanding = false;
-    bool wantsClose = false;
     Statement current; ///< the outstanding one, for the log
     Instant currentArrival {};
     SessionValues values;
--- a/src/Statements/StatementService.cpp
+++ b/src/Statements/StatementService.cpp
@@ -24,7 +24,12 @@
     transport.setListener(this);
 }
 
-StatementService::~StatementService() { this->peers.setListener(nullptr); }
+StatementService::~StatementService()
+{
+    this->peers.setListener(nullptr);
+    if (this->isolationTimer)
+        this->clock.cancel(*this->isolationTimer);
+}
 
 std::shared_ptr<CallerHandler> StatementService::makeHandler(CallerLink& link)
 {
@@ -76,6 +81,35 @@
     const auto all = this->sessions;
     for (CallerSession* session : all)
         session->directoryChanged();
+    this->checkIsolation();
+}
+
+void StatementService::checkIsolation()
+{
+    const Instant now = this->clock.now();
+    const auto unserved = std::count_if(this->groups.begin(), this->groups.end(), [](const auto& entry) {
+        const auto primary = entry.second->primary();
+        return !primary || !primary->reachable();
+    });
+    this->isolation.update(this->groups.size(), static_cast<size_t>(unserved), now);
+    if (this->isolationTimer)
+        this->clock.cancel(*this->isolationTimer);
+    this->isolationTimer.reset();
+    if (const auto next = this->isolation.nextChange(now)) {
+        this->isolationTimer = this->clock.schedule(*next, [this] {
+            this->isolationTimer.reset();
+            this->checkIsolation();
+        });
+    }
+    if (this->wantsCallers != this->isolation.wantsCallers(now)) {
+        this->wantsCallers = !this->wantsCallers;
+        this->control.callersWanted(this->wantsCallers);
+    }
+    if (!this->isolation.shedsSessions(now))
+        return;
+    const auto all = this->sessions;
+    for (CallerSession* session : all)
+        session->closeWhenIdle();
 }
 
 GroupTraffic* StatementService::findGroup(const GroupId& name)
@@ -189,6 +223,7 @@
     this->control.endpointReachable(group->second, endpoint, reachable);
     if (GroupTraffic* traffic = this->findGroup(group->second); traffic && reachable)
         traffic->notifyChanged();
+    this->checkIsolation();
 }
 
 } // namespace Lavendervane
--- a/src/Statements/StatementService.h
+++ b/src/Statements/StatementService.h
@@ -7,6 +7,7 @@
 #include "Statements/CallerLink.h"
 #include "Statements/GroupInspector.h"
 #include "Statements/GroupTraffic.h"
+#include "Statements/IsolationWatch.h"
 #include "Statements/ReachabilityPoll.h"
 #include "Statements/RequestAdmission.h"
 #include "Statements/SessionValues.h"
@@ -15,6 +16,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -50,6 +52,9 @@
 
     /// Another VM has ordered a promotion in the group.
     virtual void promotionNoticed(const GroupId&) = 0;
+
+    /// This VM should, or should not, get new callers.
+    virtual void callersWanted(bool wanted) = 0;
 };
 
 /// Sessions, groups and limits of one traffic thread. All calls must be made on that thread.
@@ -104,7 +109,11 @@
     /// Closes all connections.
     void shutDown();
 
-    bool closing() const { return this->isClosing; }
+    /// True if sessions should close between their operations.
+    bool closing() const { return this->isClosing || this->isolation.shedsSessions(this->clock.now()); }
+
+    /// A primary may have become usable or unusable for this VM.
+    void checkIsolation();
     size_t sessionCount() const { return this->sessions.size(); }
 
     void sessionEnded(CallerSession&);
@@ -129,6 +138,9 @@
     std::map<GroupId, std::unique_ptr<GroupTraffic>> groups;
     std::map<EndpointId, GroupId> groupOf;
     std::set<CallerSession*> sessions;
+    IsolationWatch isolation;
+    std::optional<Timers::Handle> isolationTimer;
+    bool wantsCallers = true;
     bool isClosing = false;
 };
 
--- a/tests/Statements/CallerSessionTest.cpp
+++ b/tests/Statements/CallerSessionTest.cpp
@@ -372,4 +372,25 @@
     BOOST_TEST(busy->closed);
 }
 
+// A VM that reaches no primary must let its callers go to VMs that do, and take them back afterwards.
+BOOST_AUTO_TEST_CASE(Stop_VmIsIsolated_SessionsCloseUntilItServesAgain)
+{
+    auto caller = this->open("strong");
+    this->connector.database("a").refuseConnections = true;
+    caller->send(StatementKind::Write, "WRITE x 1");
+    this->timers.advance(1s);
+    BOOST_TEST(this->demands.wanted == (std::vector<bool> { false }), boost::test_tools::per_element());
+    BOOST_TEST(!caller->closed);
+    this->timers.advance(3s);
+    BOOST_TEST(caller->closed);
+    this->connector.database("a").refuseConnections = false;
+    this->timers.advance(1s);
+    BOOST_TEST(this->demands.wanted == (std::vector<bool> { false, true }), boost::test_tools::per_element());
+    auto next = this->open("strong");
+    next->send(StatementKind::Write, "WRITE x 1");
+    this->settle();
+    BOOST_TEST((next->last().code == AnswerCode::Done));
+    BOOST_TEST(!next->closed);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/Statements/ServiceFixture.h
+++ b/tests/Statements/ServiceFixture.h
@@ -73,8 +73,10 @@
         this->reachability.emplace_back(endpoint, reachable);
     }
     void promotionNoticed(const GroupId&) override { }
+    void callersWanted(bool wanted) override { this->wanted.push_back(wanted); }
 
     std::vector<std::pair<EndpointId, bool>> reachability;
+    std::vector<bool> wanted;
 };
 
 class FakeTrafficLog : public TrafficLog {
