--- a/src/Limits/LimitShares.h
+++ b/src/Limits/LimitShares.h
@@ -34,6 +34,9 @@
     /// pay for it.
     void countRepeat(const OrganisationId&, Instant now);
 
+    /// Gives a token back that was taken for a request which then did not run.
+    void giveBack(const OrganisationId& organisation) { this->addBorrowed(organisation, oneRequest); }
+
     /// Takes up to `wanted` (1/1000 requests) out for another VM. What the callers here need soon is kept.
     uint64_t lend(const OrganisationId&, uint64_t wanted, Instant now);
 
--- a/src/Statements/CallerSession.cpp
+++ b/src/Statements/CallerSession.cpp
@@ -226,6 +226,7 @@
 
 void CallerSession::admitted()
 {
+    this->operation->admitted = true;
     if (!this->operation->startsTransaction) {
         this->attempt();
         return;
@@ -371,8 +372,6 @@
 void CallerSession::sendSingle(const std::shared_ptr<PooledConnection>& connection)
 {
     const Instant sent = this->service.timers().now();
-    if (this->operation->writes)
-        this->operation->mayHaveRun = true;
     connection->exchange(this->withPrologue(connection, this->operation->statement), this->operation->deadline,
         [self = this->shared_from_this(), connection, sent](
             ExchangeResult result) { self->singleAnswered(connection, std::move(result), sent); });
@@ -415,6 +414,7 @@
     }
     Operation& running = *this->operation;
     if (!result.answered()) {
+        running.mayHaveRun = true;
         if (running.writes) {
             const std::string reason = result.timedOut ? "no answer in time" : "the connection broke";
             this->finishOperation({ AnswerCode::InDoubt, "", reason }, reason);
@@ -437,7 +437,6 @@
     }
     if (connection->pool())
         connection->pool()->release(connection);
-    running.mayHaveRun = false;
     switch (reply.code) {
     case AnswerCode::Done:
         this->service.log().statementDone(
@@ -453,6 +452,7 @@
         this->endpointRefused(connection, reply);
         return;
     default:
+        running.mayHaveRun = true;
         this->finishOperation({ reply.code, "", reply.message, TransactionState::Idle }, "the endpoint's answer");
         return;
     }
@@ -499,8 +499,12 @@
 {
     if (this->operation->startsTransaction && this->transaction)
         this->transaction->failed = true;
-    if (reply.code != AnswerCode::Done)
+    if (reply.code != AnswerCode::Done) {
         this->logFailure(reply, reason);
+        // The limit is for what runs; a caller that comes back must not pay twice.
+        if (this->operation->admitted && !this->operation->mayHaveRun)
+            this->service.shares().giveBack(this->operation->organisation);
+    }
     this->dropOperation();
     CallerAnswer final = reply;
     final.state = this->transaction ? TransactionState::Failed : TransactionState::Idle;
@@ -554,6 +558,7 @@
     starting.arrival = this->currentArrival;
     starting.deadline = this->currentArrival + open.route.statementTimeout;
     starting.startsTransaction = true;
+    starting.admitted = !open.organisation.empty();
     // Only a transaction that may write is refused by a database that has lost its role.
     const bool anyReplica = open.readOnly && open.route.consistency != Consistency::Primary;
     starting.statement = ownStatement(anyReplica ? StatementKind::BeginReadOnly : StatementKind::Begin);
--- a/src/Statements/CallerSession.h
+++ b/src/Statements/CallerSession.h
@@ -51,7 +51,8 @@
         /// Runs inside a transaction of the proxy's own, which a database refuses once it is no longer the primary.
         bool wrapped = false;
         bool startsTransaction = false;
-        bool mayHaveRun = false;
+        bool admitted = false;
+        bool mayHaveRun = false; ///< in any attempt
         uint32_t attempts = 0;
         std::vector<EndpointId> tried;
         std::shared_ptr<EndpointPool> pool;
--- a/tests/Statements/CallerSessionTest.cpp
+++ b/tests/Statements/CallerSessionTest.cpp
@@ -340,6 +340,26 @@
     BOOST_TEST(this->connector.database("a").seen.empty());
 }
 
+// What did not run must not use the limit up, or callers that come back after a refusal are refused again.
+BOOST_AUTO_TEST_CASE(Limit_RequestDidNotRun_GetsTokenBack)
+{
+    this->configuration.organisations[0].limit = { 0, 1 };
+    this->publish();
+    this->connector.database("a").refuseConnections = true;
+    auto caller = this->open("strong");
+    caller->send(StatementKind::Write, "WRITE x 1");
+    this->timers.advance(300ms);
+    BOOST_TEST((caller->last().code == AnswerCode::Busy));
+    this->connector.database("a").refuseConnections = false;
+    this->timers.advance(300ms);
+    caller->send(StatementKind::Write, "WRITE x 1");
+    this->settle();
+    BOOST_TEST((caller->last().code == AnswerCode::Done));
+    caller->send(StatementKind::Write, "WRITE x 2");
+    this->timers.advance(100ms);
+    BOOST_TEST((caller->last().code == AnswerCode::TooMany));
+}
+
 // A dark database accepts nothing and breaks nothing; reads in flight must not wait for it until their deadline.
 BOOST_AUTO_TEST_CASE(Read_EndpointGoesDark_MovesToAnother)
 {
