Pass parameters as the linter asks

Cause: the first full lint run over the new folders found copies of parameters and a structured binding in a capture. Change: const references and a named reference; no behaviour changes.

--- a/src/Fleet/EntryDaemon.cpp
+++ b/src/Fleet/EntryDaemon.cpp
@@ -115,8 +115,8 @@
         HttpServerSettings readiness;
         readiness.address = this->settings.readinessAddress;
         this->readinessServer.emplace(this->controlContext, readiness, [this] {
-            return std::make_shared<ReadinessHandler>(
-                this->settings.readinessPath, [this] { return !this->stopping && !this->isolated && this->control.ready(); });
+            return std::make_shared<ReadinessHandler>(this->settings.readinessPath,
+                [this] { return !this->stopping && !this->isolated && this->control.ready(); });
         });
     }
 
--- a/src/Fleet/FleetControl.cpp
+++ b/src/Fleet/FleetControl.cpp
@@ -67,8 +67,9 @@
         if (present.find(id) != present.end())
             continue;
         // An address that another endpoint has taken over is certainly free of the old one.
-        const bool addressTaken = std::any_of(present.begin(), present.end(),
-            [&endpoint](const auto& other) { return other.second.address == endpoint.address; });
+        const std::string& address = endpoint.address;
+        const bool addressTaken = std::any_of(
+            present.begin(), present.end(), [&address](const auto& other) { return other.second.address == address; });
         if (!addressTaken && this->lapsedSince.emplace(id, now).second)
             this->log.write("endpoint_lapsed", { { "endpoint", id.str() }, { "group", endpoint.group.str() } });
     }
--- a/src/Statements/CallerSession.cpp
+++ b/src/Statements/CallerSession.cpp
@@ -272,7 +272,7 @@
     ++running.attempts;
     const auto pool = running.pool;
     const uint64_t wait = pool->acquire(running.organisation, this->values.stamp(), running.deadline,
-        [self = this->shared_from_this()](Acquired result) { self->acquired(std::move(result)); });
+        [self = this->shared_from_this()](const Acquired& result) { self->acquired(result); });
     if (this->operation && this->operation->pool == pool)
         this->operation->wait = wait;
 }
@@ -295,7 +295,7 @@
     // A database that has just lost its role still answers plain reads from old data, but refuses a transaction that
     // may write and everything in it. This also holds for the question how far the log has come.
     running.wrapped = !running.writes && !running.startsTransaction;
-    const auto primary = group.primary();
+    auto primary = group.primary();
     if (!primary || !primary->reachable())
         return nullptr;
     return primary;
@@ -328,7 +328,7 @@
     running.pause = this->service.timers().schedule(latest, again);
 }
 
-void CallerSession::acquired(Acquired result)
+void CallerSession::acquired(const Acquired& result)
 {
     if (!this->operation) {
         if (result.connection && result.connection->pool())
@@ -549,7 +549,7 @@
         return;
     }
     if (open.connection) {
-        this->sendInTransaction(std::move(next));
+        this->sendInTransaction(next);
         return;
     }
     Operation starting;
@@ -604,11 +604,11 @@
             if (first.kind == StatementKind::Commit)
                 self->commit(std::move(first));
             else
-                self->sendInTransaction(std::move(first));
+                self->sendInTransaction(first);
         });
 }
 
-void CallerSession::sendInTransaction(Statement next)
+void CallerSession::sendInTransaction(const Statement& next)
 {
     Transaction& open = *this->transaction;
     if (!open.connection->alive()) {
--- a/src/Statements/CallerSession.h
+++ b/src/Statements/CallerSession.h
@@ -95,7 +95,7 @@
     void attempt();
     std::shared_ptr<EndpointPool> choose(GroupTraffic&);
     void waitForPrimary(GroupTraffic&);
-    void acquired(Acquired);
+    void acquired(const Acquired&);
     void sendSingle(const std::shared_ptr<PooledConnection>&);
     void sendWrapped(const std::shared_ptr<PooledConnection>&);
     void sendBegin(const std::shared_ptr<PooledConnection>&);
@@ -107,7 +107,7 @@
 
     // Inside a transaction.
     void runInTransaction(Statement);
-    void sendInTransaction(Statement);
+    void sendInTransaction(const Statement&);
     void commit(Statement);
     void transactionAnswered(const Statement&, ExchangeResult, Instant sent);
     void commitAnswered(ExchangeResult, Instant sent);
--- a/tests/Adapter/SettingsAndRowsTest.cpp
+++ b/tests/Adapter/SettingsAndRowsTest.cpp
@@ -52,8 +52,8 @@
 
 BOOST_AUTO_TEST_CASE(Base64_AnyBytes_ReturnsSameBytes)
 {
-    for (const std::string& bytes : { std::string(), std::string("n"), std::string("no"), std::string("node-0"),
-             std::string("\0\xff\x80", 3) })
+    for (const std::string& bytes :
+        { std::string(), std::string("n"), std::string("no"), std::string("node-0"), std::string("\0\xff\x80", 3) })
         BOOST_TEST((decodeBase64(encodeBase64(bytes)) == bytes));
     BOOST_TEST(encodeBase64("node-0") == "bm9kZS0w");
     for (const char* text : { "a", "ab=", "!!!!" })
@@ -93,9 +93,10 @@
         std::string from;
         std::string to;
     };
-    for (const Row& row : std::vector<Row> { { "\"service\":\"huvo11a\",", "" }, { "\"service\":\"huvo11a\"", "\"service\":7" },
-             { "10.128.0.9:8080", "somewhere" }, { "\"slots\":2", "\"slots\":\"two\"" }, { "\"ready\"", "\"resting\"" },
-             { "\"replica\"", "\"witness\"" }, { "{", "" }, { "\"zone\":\"a\",", "" } }) {
+    for (const Row& row :
+        std::vector<Row> { { "\"service\":\"huvo11a\",", "" }, { "\"service\":\"huvo11a\"", "\"service\":7" },
+            { "10.128.0.9:8080", "somewhere" }, { "\"slots\":2", "\"slots\":\"two\"" }, { "\"ready\"", "\"resting\"" },
+            { "\"replica\"", "\"witness\"" }, { "{", "" }, { "\"zone\":\"a\",", "" } }) {
         std::string text = entryText;
         text.replace(text.find(row.from), row.from.size(), row.to);
         BOOST_TEST(!decodeRegistryEntry("i-1", text), text);
--- a/tests/Adapter/WireTest.cpp
+++ b/tests/Adapter/WireTest.cpp
@@ -57,11 +57,12 @@
 // What cannot be read must neither reach an endpoint nor end the process.
 BOOST_AUTO_TEST_CASE(DecodeCallerMessage_Malformed_IsSaidSo)
 {
-    for (const char* line : { "", " ", "connect x", "CONNECT", "CONNECT ", "QUERY", "QUERY 1", "QUERY  READ x", "\x01\x02",
-             "GET / HTTP/1.1" })
+    for (const char* line : { "", " ", "connect x", "CONNECT", "CONNECT ", "QUERY", "QUERY 1", "QUERY  READ x",
+             "\x01\x02", "GET / HTTP/1.1" })
         BOOST_TEST((decodeCallerMessage(line).kind == Kind::Malformed), line);
-    for (const char* line : { "QUERY 1 READ", "QUERY 1 DROP x", "QUERY 1 BEGIN WRITE", "QUERY 1 PREPARE s1", "QUERY 1 RESET",
-             "QUERY 1 PREPARE s1 UPDATE x", "QUERY 1 EXECUTE", "QUERY 1 AFTER 3.1 READ x", "QUERY 1 STATUS", "QUERY 1 COMMIT now" }) {
+    for (const char* line : { "QUERY 1 READ", "QUERY 1 DROP x", "QUERY 1 BEGIN WRITE", "QUERY 1 PREPARE s1",
+             "QUERY 1 RESET", "QUERY 1 PREPARE s1 UPDATE x", "QUERY 1 EXECUTE", "QUERY 1 AFTER 3.1 READ x",
+             "QUERY 1 STATUS", "QUERY 1 COMMIT now" }) {
         const auto message = decodeCallerMessage(line);
         BOOST_TEST((message.kind == Kind::Statement && message.statement.kind == StatementKind::Malformed), line);
     }
@@ -112,7 +113,8 @@
 BOOST_AUTO_TEST_CASE(AnswerDecoder_WholeAnswers_ReadsResultStateAndPosition)
 {
     AnswerDecoder decoder;
-    BOOST_TEST((feed(decoder, { "ROW q", "ROW r", "COMPLETE 7.1f3", "READY I 3.1209" }) == AnswerDecoder::Progress::Complete));
+    BOOST_TEST(
+        (feed(decoder, { "ROW q", "ROW r", "COMPLETE 7.1f3", "READY I 3.1209" }) == AnswerDecoder::Progress::Complete));
     EndpointAnswer answer = decoder.take();
     BOOST_TEST((answer.code == AnswerCode::Done));
     BOOST_TEST(answer.result == "ROW q\r\nROW r\r\nCOMPLETE 7.1f3\r\n");
--- a/tests/Promotion/PromotionKeeperTest.cpp
+++ b/tests/Promotion/PromotionKeeperTest.cpp
@@ -41,7 +41,8 @@
 
     void registry(EndpointRole roleOfA, EndpointRole roleOfB, bool drainingA = false)
     {
-        this->handle(RegistrySeen { { endpoint(a, roleOfA, drainingA), endpoint(b, roleOfB), endpoint(c, EndpointRole::Replica) } });
+        this->handle(RegistrySeen {
+            { endpoint(a, roleOfA, drainingA), endpoint(b, roleOfB), endpoint(c, EndpointRole::Replica) } });
     }
 
     void fireTimer()
@@ -190,8 +191,8 @@
     const uint64_t attempt = read->attempt;
     this->handle(ClaimRead { stock, attempt, this->reply(TableStatus::Done, 0) });
     this->handle(ClaimWritten { stock, attempt, this->reply(TableStatus::Done, 5) });
-    this->handle(EndpointsInspected { stock, attempt,
-        { { a, status(60, EndpointRole::Primary) }, { b, status(58) }, { c, status(57) } } });
+    this->handle(EndpointsInspected {
+        stock, attempt, { { a, status(60, EndpointRole::Primary) }, { b, status(58) }, { c, status(57) } } });
     BOOST_REQUIRE(this->find<StepDownPrimary>());
     BOOST_TEST(this->find<StepDownPrimary>()->term == 2U);
     this->handle(SteppedDown { stock, attempt, status(61) });
