Hold one share a VM in the ledger

Cause: the ledger held a share and a demand for each organisation and VM. With 95 VMs and 72 organisations the row is over the 64 KiB that the platform's table takes, so no VM got shares: on the grown deployments 45% to 63% of requests were refused as beyond the limit and 10,600 to 15,300 calls went to the store. Change: one even share a VM for all limits; borrowing follows the demand, as it did for most of it before. The row is about 100 bytes a VM. Reading the demand from traffic is removed.

--- a/src/Fleet/EntryDaemon.cpp
+++ b/src/Fleet/EntryDaemon.cpp
@@ -147,10 +147,10 @@
             this->trafficContext, [this, directory = std::move(directory)] { this->service.setDirectory(directory); });
     }
 
-    void applyShares(const ShareLedger::Shares& shares, Instant expiry) override
+    void applyShare(uint32_t share, Instant expiry) override
     {
         asio::post(this->trafficContext,
-            [this, shares, expiry] { this->service.shares().setShares(shares, expiry, this->trafficTimers.now()); });
+            [this, share, expiry] { this->service.shares().setShare(share, expiry, this->trafficTimers.now()); });
     }
 
     void setPeers(std::vector<PeerAddress> peers) override
@@ -158,15 +158,6 @@
         asio::post(this->trafficContext, [this, peers = std::move(peers)] { this->service.setPeers(peers); });
     }
 
-    void askDemands(std::function<void(ShareLedger::Demands)> callback) override
-    {
-        asio::post(this->trafficContext, [this, callback = std::move(callback)] {
-            auto demands = this->service.shares().demands(this->trafficTimers.now());
-            asio::post(this->controlContext,
-                [callback, demands = std::move(demands)]() mutable { callback(std::move(demands)); });
-        });
-    }
-
     void announcePromotion(const AnnouncePromotion& effect) override
     {
         asio::post(this->trafficContext,
--- a/src/Fleet/FleetControl.cpp
+++ b/src/Fleet/FleetControl.cpp
@@ -42,16 +42,8 @@
     this->log.write("configuration_applied",
         { { "version", std::to_string(read.version) }, { "routes", std::to_string(read.routes.size()) },
             { "organisations", std::to_string(read.organisations.size()) } });
-    const bool newOrganisations = !this->configuration
-        || !std::all_of(read.organisations.begin(), read.organisations.end(), [this](const auto& organisation) {
-               const auto& known = this->configuration->organisations;
-               return std::any_of(known.begin(), known.end(),
-                   [&organisation](const auto& other) { return other.name == organisation.name; });
-           });
     this->configuration = std::make_shared<const SessionConfiguration>(std::move(read));
     this->publish();
-    if (newOrganisations && this->sharesKnown)
-        this->shareTimerFired();
 }
 
 void FleetControl::registryRead(std::vector<RegisteredEndpoint> endpoints)
@@ -175,16 +167,11 @@
                     this->log.write("shares_not_renewed", { { "reason", reply.reason } });
                 this->run(this->keeper.handle(LedgerWritten { std::move(reply) }, this->timers.now()));
             });
-        } else if (const auto* apply = std::get_if<ApplyShares>(&effect)) {
+        } else if (const auto* apply = std::get_if<ApplyShare>(&effect)) {
             if (!this->sharesKnown)
-                this->log.write("shares_obtained", {});
+                this->log.write("share_obtained", { { "parts", std::to_string(apply->share) } });
             this->sharesKnown = true;
-            this->traffic.applyShares(apply->shares, apply->expiry);
-        } else if (std::holds_alternative<AskDemands>(effect)) {
-            this->traffic.askDemands([this, here](ShareLedger::Demands demands) {
-                if (!here.expired())
-                    this->run(this->keeper.handle(DemandsMeasured { std::move(demands) }, this->timers.now()));
-            });
+            this->traffic.applyShare(apply->share, apply->expiry);
         } else if (const auto* timer = std::get_if<SetShareTimer>(&effect)) {
             this->setShareTimer(timer->when);
         } else if (const auto* fleet = std::get_if<FleetKnown>(&effect)) {
--- a/src/Fleet/FleetControl.h
+++ b/src/Fleet/FleetControl.h
@@ -34,13 +34,12 @@
     virtual ~TrafficPort() = default;
 
     virtual void setDirectory(std::shared_ptr<const Directory>) = 0;
-    virtual void applyShares(const ShareLedger::Shares&, Instant expiry) = 0;
+    virtual void applyShare(uint32_t share, Instant expiry) = 0;
 
     virtual void setPeers(std::vector<PeerAddress>) = 0;
     virtual void announcePromotion(const AnnouncePromotion&) = 0;
 
     /// Calls back on the control thread.
-    virtual void askDemands(std::function<void(ShareLedger::Demands)>) = 0;
     virtual void askOpinions(const AskOpinions&, std::function<void(OpinionsCollected)>) = 0;
     virtual void inspect(const InspectEndpoints&, std::function<void(EndpointsInspected)>) = 0;
     virtual void stepDown(const StepDownPrimary&, std::function<void(SteppedDown)>) = 0;
--- a/src/Limits/LimitShares.cpp
+++ b/src/Limits/LimitShares.cpp
@@ -25,19 +25,17 @@
     }
 }
 
-void LimitShares::setShares(const std::map<OrganisationId, uint32_t>& shares, Instant until, Instant now)
+void LimitShares::setShare(uint32_t parts, Instant until, Instant now)
 {
+    this->share = parts;
     this->expiry = until;
-    for (auto& [organisation, entry] : this->entries) {
-        const auto share = shares.find(organisation);
-        entry.share = share == shares.end() ? 0 : share->second;
+    for (auto& [organisation, entry] : this->entries)
         this->applyCapacity(entry, now);
-    }
 }
 
 void LimitShares::applyCapacity(Entry& entry, Instant now) const
 {
-    const auto part = [&entry](uint64_t whole) { return whole * entry.share / wholeShare; };
+    const auto part = [this](uint64_t whole) { return whole * this->share / wholeShare; };
     entry.bucket.setCapacity({ part(entry.whole.milliRate), part(entry.whole.milliBurst) }, now);
     entry.borrowed = std::min(entry.borrowed, entry.whole.milliBurst);
 }
@@ -107,14 +105,4 @@
     return std::clamp(tokens, oneRequest, mostBorrowed);
 }
 
-std::map<OrganisationId, uint64_t> LimitShares::demands(Instant now)
-{
-    std::map<OrganisationId, uint64_t> rates;
-    for (auto& [organisation, entry] : this->entries) {
-        decay(entry, now);
-        rates.emplace(organisation, static_cast<uint64_t>(entry.demand * static_cast<double>(oneRequest)));
-    }
-    return rates;
-}
-
 } // namespace Lavendervane
--- a/src/Limits/LimitShares.h
+++ b/src/Limits/LimitShares.h
@@ -24,8 +24,8 @@
     /// Limits of all VMs together; organisations that are missing are removed.
     void setLimits(const std::map<OrganisationId, Capacity>&, Instant now);
 
-    /// Shares of this VM, in parts of `wholeShare`, valid until `expiry`.
-    void setShares(const std::map<OrganisationId, uint32_t>&, Instant expiry, Instant now);
+    /// Share of this VM in every limit, in parts of `wholeShare`, valid until `expiry`.
+    void setShare(uint32_t, Instant expiry, Instant now);
 
     /// Admits one request, or returns false.
     bool tryTake(const OrganisationId&, Instant now);
@@ -46,15 +46,9 @@
     /// Tokens worth borrowing at once, in 1/1000 requests: what the callers here use in a short time.
     uint64_t worthBorrowing(const OrganisationId&, Instant now);
 
-    /// Requests per second asked for lately, in 1/1000, whether admitted or not.
-    std::map<OrganisationId, uint64_t> demands(Instant now);
-
-    bool knows(const OrganisationId& organisation) const { return this->entries.count(organisation) > 0; }
-
 private:
     struct Entry {
         Capacity whole;
-        uint32_t share = 0;
         TokenBucket bucket;
         uint64_t borrowed = 0; ///< 1/1000 requests
         uint64_t owed = 0; ///< 1/1000 requests, for repeats that ran without a token
@@ -65,6 +59,7 @@
     void applyCapacity(Entry&, Instant now) const;
     static void decay(Entry&, Instant now);
 
+    uint32_t share = 0;
     Instant expiry {};
     std::map<OrganisationId, Entry> entries;
 };
--- a/src/Limits/ShareKeeper.cpp
+++ b/src/Limits/ShareKeeper.cpp
@@ -37,9 +37,9 @@
     if (!lease || lease->untilMs <= tableNow)
         return { SetShareTimer { now + this->randomPart(this->settings.startSpread) } };
     this->exchanges = this->settings.earlyExchanges;
-    this->held = lease->shares;
+    this->held = lease->share;
     this->expiry = now + std::chrono::milliseconds(lease->untilMs - tableNow) - this->clock.uncertainty();
-    return { ApplyShares { this->held, this->expiry }, FleetKnown { this->ledger->peers() },
+    return { ApplyShare { this->held, this->expiry }, FleetKnown { this->ledger->peers() },
         SetShareTimer { now + this->randomPart(this->settings.adoptedSpread) } };
 }
 
@@ -50,8 +50,6 @@
 
 std::vector<ShareEffect> ShareKeeper::handle(const ShareEvent& event, Instant now)
 {
-    if (const auto* demandsMeasured = std::get_if<DemandsMeasured>(&event))
-        return this->measured(*demandsMeasured, now);
     if (const auto* ledgerRead = std::get_if<LedgerRead>(&event))
         return this->read(*ledgerRead, now);
     if (const auto* ledgerWritten = std::get_if<LedgerWritten>(&event))
@@ -61,22 +59,12 @@
     return this->stop(now);
 }
 
-std::vector<ShareEffect> ShareKeeper::timerFired(Instant)
+std::vector<ShareEffect> ShareKeeper::timerFired(Instant now)
 {
     if (this->busy || this->stopping)
         return {};
     this->busy = true;
-    if (!this->adopted)
-        return { ReadLedger {} };
-    return { AskDemands {} };
-}
-
-std::vector<ShareEffect> ShareKeeper::measured(const DemandsMeasured& event, Instant now)
-{
-    if (this->stopping)
-        return {};
-    this->demands = event.demands;
-    if (!this->ledger)
+    if (!this->adopted || !this->ledger)
         return { ReadLedger {} };
     return this->write(now);
 }
@@ -112,25 +100,19 @@
 std::vector<ShareEffect> ShareKeeper::write(Instant now)
 {
     this->attempted = *this->ledger;
-    this->attemptedShares.clear();
+    this->attemptedShare = 0;
     if (this->stopping)
         this->attempted.leave(this->holder);
     else
-        this->attemptedShares
-            = this->attempted.renew(this->holder, this->demands, this->clock.atLeast(now), this->settings.ledger);
+        this->attemptedShare = this->attempted.renew(this->holder, this->clock.atLeast(now), this->settings.ledger);
     this->attemptedExpiry
         = now + std::chrono::milliseconds(this->settings.ledger.lifetimeMs) - this->clock.uncertainty();
     Effects effects;
     // What is given back may be used by others as soon as the write is done, even if its answer is lost.
-    bool lowered = false;
-    for (auto& [organisation, share] : this->held) {
-        const auto after = this->attemptedShares.find(organisation);
-        const uint32_t kept = after == this->attemptedShares.end() ? 0 : std::min(share, after->second);
-        lowered = lowered || kept < share;
-        share = kept;
+    if (this->attemptedShare < this->held) {
+        this->held = this->attemptedShare;
+        effects.emplace_back(ApplyShare { this->held, this->expiry });
     }
-    if (lowered)
-        effects.emplace_back(ApplyShares { this->held, this->expiry });
     TableTransaction transaction;
     transaction.conditions.push_back({ ledgerKey(), this->revision });
     transaction.writes.push_back({ ledgerKey(), this->attempted.serialise() });
@@ -160,7 +142,7 @@
     this->ledger = this->attempted;
     this->revision = event.reply.revision;
     this->clock = event.reply.clock;
-    this->held = this->attemptedShares;
+    this->held = this->attemptedShare;
     this->expiry = this->attemptedExpiry;
     this->failureDelay = {};
     this->conflictDelay = {};
@@ -168,7 +150,7 @@
     const Duration interval = ++this->exchanges < this->settings.earlyExchanges ? this->settings.earlyInterval
                                                                                 : this->settings.renewInterval;
     // The random part keeps VMs that started together from renewing together.
-    return { ApplyShares { this->held, this->expiry }, FleetKnown { this->ledger->peers() },
+    return { ApplyShare { this->held, this->expiry }, FleetKnown { this->ledger->peers() },
         SetShareTimer { now + interval + this->randomPart(interval / 4) } };
 }
 
--- a/src/Limits/ShareKeeper.h
+++ b/src/Limits/ShareKeeper.h
@@ -22,7 +22,7 @@
     /// The second and third exchange, to learn of VMs that started at the same time and to divide evenly with them.
     Duration earlyInterval = std::chrono::seconds(3);
     uint32_t earlyExchanges = 3;
-    /// Interval of later exchanges, which follow the demand.
+    /// Interval of later exchanges, which follow the number of VMs.
     Duration renewInterval = std::chrono::seconds(15);
     /// First and longest pause after an exchange that failed.
     Duration failurePause = std::chrono::milliseconds(100);
@@ -33,11 +33,6 @@
     Duration longestConflictPause = std::chrono::milliseconds(320);
 };
 
-/// Demand of this VM's callers, in answer to AskDemands.
-struct DemandsMeasured {
-    ShareLedger::Demands demands;
-};
-
 struct LedgerRead {
     TableReply reply;
 };
@@ -51,9 +46,7 @@
 /// The process is about to stop; shares are given back.
 struct ShareStopRequested { };
 
-using ShareEvent = std::variant<DemandsMeasured, LedgerRead, LedgerWritten, ShareTimerFired, ShareStopRequested>;
-
-struct AskDemands { };
+using ShareEvent = std::variant<LedgerRead, LedgerWritten, ShareTimerFired, ShareStopRequested>;
 
 struct ReadLedger { };
 
@@ -61,9 +54,9 @@
     TableTransaction transaction;
 };
 
-/// Traffic admits by these shares until `expiry`.
-struct ApplyShares {
-    ShareLedger::Shares shares;
+/// Traffic admits by this share of every limit until `expiry`.
+struct ApplyShare {
+    uint32_t share = 0;
     Instant expiry;
 };
 
@@ -79,10 +72,9 @@
 /// The shares have been given back, or could not be.
 struct SharesLeft { };
 
-using ShareEffect
-    = std::variant<AskDemands, ReadLedger, WriteLedger, ApplyShares, SetShareTimer, FleetKnown, SharesLeft>;
+using ShareEffect = std::variant<ReadLedger, WriteLedger, ApplyShare, SetShareTimer, FleetKnown, SharesLeft>;
 
-/// Obtains, renews and adapts this VM's shares of limits through the ledger row. Holds no clock and makes no calls.
+/// Obtains and renews this VM's share of limits through the ledger row. Holds no clock and makes no calls.
 class ShareKeeper {
 public:
     ShareKeeper(ShareLedger::Holder, ShareKeeperSettings, uint64_t seed);
@@ -96,7 +88,6 @@
 private:
     using Effects = std::vector<ShareEffect>;
 
-    Effects measured(const DemandsMeasured&, Instant now);
     Effects read(const LedgerRead&, Instant now);
     Effects written(const LedgerWritten&, Instant now);
     Effects timerFired(Instant now);
@@ -115,11 +106,10 @@
     TableClock clock;
     ShareLedger attempted; ///< content of the write under way
     Instant attemptedExpiry {};
-    ShareLedger::Shares attemptedShares;
-    ShareLedger::Shares held;
+    uint32_t attemptedShare = 0;
+    uint32_t held = 0;
     Instant expiry {};
-    ShareLedger::Demands demands;
-    bool busy = false; ///< a call is under way or traffic has been asked
+    bool busy = false; ///< a call is under way
     bool adopted = false; ///< the first read has been made
     bool stopping = false;
     uint32_t exchanges = 0;
