--- a/tests/Limits/ShareKeeperTest.cpp
+++ b/tests/Limits/ShareKeeperTest.cpp
@@ -89,8 +89,7 @@
     this->keeper.handle(LedgerWritten { this->reply(TableStatus::Done, 9, "") }, this->now);
     ShareLedger crowded;
     for (int vm = 1; vm <= 40; ++vm)
-        crowded.renew(
-            { { VmId("vm-" + std::to_string(vm)), DataCentre("dc"), "" }, "run-1" }, 5000, {});
+        crowded.renew({ { VmId("vm-" + std::to_string(vm)), DataCentre("dc"), "" }, "run-1" }, 5000, {});
     this->keeper.handle(ShareTimerFired {}, this->now + 3s);
     this->keeper.handle(LedgerWritten { this->reply(TableStatus::Conflict, 20, crowded.serialise()) }, this->now + 3s);
     const auto writing = this->keeper.handle(ShareTimerFired {}, this->now + 4s);
@@ -111,8 +110,7 @@
 BOOST_AUTO_TEST_CASE(Start_LedgerHoldsSharesOfEarlierRun_AppliesThemAtOnce)
 {
     ShareLedger ledger;
-    const auto share
-        = ledger.renew({ { VmId("vm-1"), DataCentre("dc"), "10.0.0.1:1" }, "earlier" }, 4000, {});
+    const auto share = ledger.renew({ { VmId("vm-1"), DataCentre("dc"), "10.0.0.1:1" }, "earlier" }, 4000, {});
     this->keeper.start(this->now);
     const auto effects
         = this->keeper.handle(LedgerRead { this->reply(TableStatus::Done, 4, ledger.serialise()) }, this->now);
--- a/tests/Statements/ServiceFixture.cpp
+++ b/tests/Statements/ServiceFixture.cpp
@@ -46,8 +46,7 @@
     this->service = std::make_unique<StatementService>(
         this->settings, this->timers, this->connector, this->transport, this->demands, this->log);
     this->publish();
-    this->service->shares().setShare(
-        wholeShare, this->timers.now() + std::chrono::hours(1), this->timers.now());
+    this->service->shares().setShare(wholeShare, this->timers.now() + std::chrono::hours(1), this->timers.now());
     this->timers.advance(std::chrono::seconds(2));
 }
 
