Split the session's source and remove what is not used

Change: operations, transactions and the rest in a file each; one startOperation; unused members removed.

--- a/src/Statements/CallerSession.h
+++ b/src/Statements/CallerSession.h
@@ -87,6 +87,7 @@
     void rollback();
 
     // Outside a transaction.
+    bool startOperation(Statement, bool startsTransaction);
     void runSingle(Statement);
     void admit();
     void admitted();
@@ -109,7 +110,7 @@
     void runInTransaction(Statement);
     void sendInTransaction(const Statement&);
     void commit(Statement);
-    void transactionAnswered(const Statement&, ExchangeResult, Instant sent);
+    void transactionAnswered(ExchangeResult);
     void commitAnswered(ExchangeResult, Instant sent);
     void endTransaction(bool commandRollback);
     void watchIdleTransaction();
--- /dev/null
+++ b/src/Statements/CallerTransaction.cpp
@@ -0,0 +1,245 @@
+// Transactions of a caller's session, from their first statement at an endpoint to their end.
+#include "Statements/CallerSession.h"
+
+#include "Statements/StatementService.h"
+
+#include <utility>
+
+namespace Lavendervane {
+
+void CallerSession::runInTransaction(Statement next)
+{
+    Transaction& open = *this->transaction;
+    if (open.failed) {
+        const std::string failure = std::exchange(open.failure, "");
+        if (failure.empty())
+            this->refuse(AnswerCode::Malformed, "the transaction has failed");
+        else
+            this->refuse(AnswerCode::Aborted, failure);
+        return;
+    }
+    OrganisationId organisation;
+    if (!open.route.openToAll && !this->authorised(open.route, organisation)) {
+        this->endTransaction(true);
+        this->refuse(AnswerCode::Unauthenticated, "the key has been withdrawn");
+        return;
+    }
+    if (open.connection) {
+        this->sendInTransaction(next);
+        return;
+    }
+    Operation starting;
+    starting.route = open.route;
+    starting.organisation = open.organisation;
+    starting.arrival = this->currentArrival;
+    starting.deadline = this->currentArrival + open.route.statementTimeout;
+    starting.startsTransaction = true;
+    starting.admitted = !open.organisation.empty();
+    // Only a transaction that may write is refused by a database that has lost its role.
+    const bool anyReplica = open.readOnly && open.route.consistency != Consistency::Primary;
+    starting.statement = ownStatement(anyReplica ? StatementKind::BeginReadOnly : StatementKind::Begin);
+    starting.statement.id.clear();
+    this->operation = std::move(starting);
+    this->current = std::move(next);
+    this->attempt();
+}
+
+void CallerSession::sendBegin(const std::shared_ptr<PooledConnection>& connection)
+{
+    const Instant sent = this->service.timers().now();
+    std::vector<Statement> batch = connection->prologue(this->values);
+    Statement begin = this->operation->statement;
+    if (!begin.requiredPosition)
+        begin.kind = StatementKind::Begin; // without a known position only the primary may serve the transaction
+    batch.push_back(begin);
+    connection->exchange(
+        batch, this->operation->deadline, [self = this->shared_from_this(), connection, sent](ExchangeResult result) {
+            if (!self->operation || !self->transaction) {
+                connection->close();
+                return;
+            }
+            Operation& running = *self->operation;
+            if (!result.answered()) {
+                running.tried.push_back(running.pool->endpoint().id);
+                self->tryAgain(AnswerCode::Aborted, "the connection broke", {});
+                return;
+            }
+            const EndpointAnswer& reply = result.answers.back();
+            if (reply.code != AnswerCode::Done) {
+                if (connection->pool())
+                    connection->pool()->release(connection);
+                self->endpointRefused(connection, reply);
+                return;
+            }
+            if (!running.statement.requiredPosition)
+                self->learnPosition(running.route, sent, reply);
+            self->transaction->connection = connection;
+            self->transaction->endpoint = running.pool->endpoint().id;
+            self->dropOperation();
+            Statement first = self->current;
+            if (first.kind == StatementKind::Commit)
+                self->commit(std::move(first));
+            else
+                self->sendInTransaction(first);
+        });
+}
+
+void CallerSession::sendInTransaction(const Statement& next)
+{
+    Transaction& open = *this->transaction;
+    if (!open.connection->alive()) {
+        this->transactionAnswered({});
+        return;
+    }
+    if (this->isWrite(next))
+        open.wrote = true;
+    const auto connection = open.connection;
+    connection->exchange(this->withPrologue(connection, next), this->currentArrival + open.route.statementTimeout,
+        [self = this->shared_from_this(), connection](ExchangeResult result) {
+            if (self->transaction && self->transaction->connection == connection) {
+                self->transactionAnswered(std::move(result));
+                return;
+            }
+            // The caller has left or the transaction was aborted meanwhile.
+            connection->close();
+        });
+}
+
+void CallerSession::transactionAnswered(ExchangeResult result)
+{
+    Transaction& open = *this->transaction;
+    if (!result.answered()) {
+        // Without its connection the database rolls the transaction back.
+        open.connection.reset();
+        open.failed = true;
+        const std::string reason = result.timedOut ? "no answer in time" : "the connection broke";
+        CallerAnswer reply { AnswerCode::Aborted, "", reason, TransactionState::Failed };
+        this->logFailure(reply, reason);
+        this->answer(reply);
+        return;
+    }
+    EndpointAnswer& reply = result.answers.back();
+    if (reply.code == AnswerCode::UnknownPrepared)
+        open.connection->forgetPrepared();
+    if (reply.code == AnswerCode::Done)
+        this->service.log().statementDone(open.readOnly, this->service.timers().now() - this->currentArrival);
+    if (reply.state != TransactionState::Open)
+        open.failed = true;
+    CallerAnswer toCaller { reply.code, std::move(reply.result), reply.message,
+        open.failed ? TransactionState::Failed : TransactionState::Open };
+    if (reply.code != AnswerCode::Done)
+        this->logFailure(toCaller, "the endpoint's answer");
+    this->answer(toCaller);
+}
+
+void CallerSession::commit(Statement next)
+{
+    if (!this->transaction) {
+        this->refuse(AnswerCode::Malformed, "no transaction");
+        return;
+    }
+    Transaction& open = *this->transaction;
+    if (!open.failed && !open.connection) {
+        // The success of a commit is the endpoint's to give, so an empty transaction goes there too.
+        this->runInTransaction(std::move(next));
+        return;
+    }
+    if (open.failed || !open.connection->alive()) {
+        this->endTransaction(true);
+        this->refuse(AnswerCode::Aborted, "the transaction has failed");
+        return;
+    }
+    const Instant sent = this->service.timers().now();
+    const auto connection = open.connection;
+    connection->exchange({ next }, this->currentArrival + open.route.statementTimeout,
+        [self = this->shared_from_this(), connection, sent](ExchangeResult result) {
+            if (self->transaction && self->transaction->connection == connection)
+                self->commitAnswered(std::move(result), sent);
+            else if (connection->alive() && connection->pool())
+                connection->pool()->release(connection);
+        });
+}
+
+void CallerSession::commitAnswered(ExchangeResult result, Instant sent)
+{
+    const bool wrote = this->transaction->wrote;
+    const SessionRoute route = this->transaction->route;
+    if (!result.answered()) {
+        this->endTransaction(false);
+        const std::string reason = result.timedOut ? "no answer to the commit in time" : "the connection broke";
+        // A transaction that only read has nothing that could be kept.
+        CallerAnswer reply { wrote ? AnswerCode::InDoubt : AnswerCode::Aborted, "", reason };
+        this->logFailure(reply, reason);
+        this->answer(reply);
+        return;
+    }
+    EndpointAnswer& reply = result.answers.back();
+    if (reply.code == AnswerCode::Done && wrote) {
+        this->learnPosition(route, sent, reply);
+        if (reply.position)
+            this->commits[route.group] = *reply.position;
+    }
+    this->endTransaction(reply.state != TransactionState::Idle);
+    CallerAnswer toCaller { reply.code, std::move(reply.result), reply.message, TransactionState::Idle };
+    if (reply.code != AnswerCode::Done)
+        this->logFailure(toCaller, "the endpoint's answer");
+    this->answer(toCaller);
+}
+
+void CallerSession::rollback()
+{
+    if (!this->transaction) {
+        this->refuse(AnswerCode::Malformed, "no transaction");
+        return;
+    }
+    this->endTransaction(true);
+    this->answer({});
+}
+
+// Gives the transaction's connection back, after a rollback if the endpoint still has it open.
+void CallerSession::endTransaction(bool commandRollback)
+{
+    Transaction ended = std::move(*this->transaction);
+    this->transaction.reset();
+    if (ended.idleTimer)
+        this->service.timers().cancel(*ended.idleTimer);
+    const auto connection = ended.connection;
+    if (!connection || !connection->alive())
+        return;
+    if (!commandRollback) {
+        if (connection->pool())
+            connection->pool()->release(connection);
+        return;
+    }
+    const Instant deadline = this->service.timers().now() + ended.route.statementTimeout;
+    connection->exchange({ ownStatement(StatementKind::Rollback) }, deadline, [connection](const ExchangeResult&) {
+        if (connection->alive() && connection->pool())
+            connection->pool()->release(connection);
+    });
+}
+
+void CallerSession::abortTransaction(const std::string& reason)
+{
+    if (!this->transaction || this->transaction->failed || this->outstanding)
+        return;
+    Transaction replacement = *this->transaction;
+    this->endTransaction(true);
+    replacement.connection.reset();
+    replacement.idleTimer.reset();
+    replacement.failed = true;
+    replacement.failure = reason;
+    this->transaction = std::move(replacement);
+}
+
+void CallerSession::watchIdleTransaction()
+{
+    const Duration limit = this->service.directory()->configuration().transactionIdleLimit;
+    if (limit == Duration {} || !this->transaction->connection)
+        return;
+    this->transaction->idleTimer = this->service.timers().schedule(this->service.timers().now() + limit, [this] {
+        this->transaction->idleTimer.reset();
+        this->abortTransaction("the transaction was idle for too long");
+    });
+}
+
+} // namespace Lavendervane
--- a/src/Statements/EndpointPool.cpp
+++ b/src/Statements/EndpointPool.cpp
@@ -218,7 +218,6 @@
 
 void EndpointPool::startOpening(const OrganisationId& organisation)
 {
-    ++this->opened;
     this->lastOrganisation = organisation;
     const auto connection = std::make_shared<PooledConnection>(*this, this->timers, organisation);
     this->connections.push_back(connection);
--- a/src/Statements/EndpointPool.h
+++ b/src/Statements/EndpointPool.h
@@ -104,9 +104,6 @@
     const std::optional<LogPosition>& position() const { return this->lastPosition; }
     void recordPosition(const LogPosition&);
 
-    size_t connectionCount() const { return this->connections.size(); }
-    size_t openedCount() const { return this->opened; }
-
 private:
     friend class PooledConnection;
 
@@ -143,7 +140,6 @@
     std::list<Waiter> waiters; ///< in order of arrival
     uint32_t limit = 1;
     uint64_t lastNumber = 0;
-    uint64_t opened = 0;
     bool retired = false;
     bool dispatching = false;
     bool isReachable = true;
