Check the answers to values and prepared statements before a batch counts

Cause: a connection recorded values and prepared statements as set when it sent them, and a session looked only at the last answer of a batch. Had an endpoint refused one, the statement after it would have run with other values and been reported as done, and the connection would have served further sessions. Change: a batch whose preparations are not all done counts as unanswered, and the connection ends. Test: CallerSessionTest/Write_ValueRefusedByEndpoint_IsInDoubtAndConnectionEnds, failed before (done reported, connection kept).

--- a/src/Statements/PooledConnection.cpp
+++ b/src/Statements/PooledConnection.cpp
@@ -23,12 +23,23 @@
         this->link->close();
 }
 
+// Statements at the start of a batch that give the connection the values and prepared statements of a session.
+static size_t countPreparations(const std::vector<Statement>& statements)
+{
+    const auto end = std::find_if(statements.begin(), statements.end(), [](const Statement& statement) {
+        return statement.kind != StatementKind::Reset && statement.kind != StatementKind::SetValue
+            && statement.kind != StatementKind::Prepare;
+    });
+    return static_cast<size_t>(end - statements.begin());
+}
+
 void PooledConnection::exchange(const std::vector<Statement>& statements, Instant deadline, ExchangeCallback done)
 {
     assert(this->state == State::InUse);
     this->state = State::Waiting;
     this->since = this->timers.now();
     this->callback = std::move(done);
+    this->preparations = countPreparations(statements);
     this->scheduleCheck(deadline);
     this->link->send(statements);
 }
@@ -133,6 +144,13 @@
         this->close();
         return;
     }
+    const auto prepared = answers.begin() + static_cast<std::ptrdiff_t>(std::min(this->preparations, answers.size()));
+    if (std::any_of(answers.begin(), prepared,
+            [](const EndpointAnswer& answer) { return answer.code != AnswerCode::Done; })) {
+        // What came after ran with other values than the session's, and the connection's values are not known.
+        this->abandon();
+        return;
+    }
     this->cancelTimer();
     this->state = State::InUse;
     this->inTransaction = answers.back().state != TransactionState::Idle;
--- a/src/Statements/PooledConnection.h
+++ b/src/Statements/PooledConnection.h
@@ -89,6 +89,7 @@
     uint64_t stamp = 0;
     std::map<std::string, std::string> values;
     std::set<uint32_t> prepared;
+    size_t preparations = 0; ///< statements of the batch under way that must succeed for the others to count
     ExchangeCallback callback;
     std::optional<Timers::Handle> timer;
 };
--- a/tests/Statements/CallerSessionTest.cpp
+++ b/tests/Statements/CallerSessionTest.cpp
@@ -107,6 +107,20 @@
     BOOST_TEST(std::count(seen.begin(), seen.end(), "WRITE x 1") == 0);
 }
 
+// A statement that ran without the session's values must not be reported as done, and the connection, whose values are
+// then unknown, must not serve another session.
+BOOST_AUTO_TEST_CASE(Write_ValueRefusedByEndpoint_IsInDoubtAndConnectionEnds)
+{
+    auto caller = this->open("own");
+    caller->send(StatementKind::SetValue, "1", "mode");
+    this->connector.database("a").refuseNext[StatementKind::SetValue] = AnswerCode::Failed;
+    caller->send(StatementKind::Write, "WRITE x 1");
+    this->settle();
+    BOOST_REQUIRE(caller->answers.size() == 2U);
+    BOOST_TEST((caller->last().code == AnswerCode::InDoubt));
+    BOOST_TEST(this->connector.database("a").connections == 0U);
+}
+
 // A read may be repeated; the caller must not have to do it.
 BOOST_AUTO_TEST_CASE(Read_AnswerLost_IsRepeatedElsewhere)
 {
