Let VMs that start together join the ledger, and few of a large fleet hold shares

Cause: with 95 VMs that start at once most writes of the ledger met a newer one. After a conflict a VM waited up to 0.32 s and then wrote on the revision that the conflict had told, which was out of date by then: 59 of 95 VMs had no share, and were not ready, 14 s after the start. Besides, 1/95 of a small organisation's limit is less than a request. Change: after a pause beyond the first one the ledger is read again. In a fleet of more than 24 VMs, 12 hold shares, evenly over the data centres, and the others borrow from them.

--- a/src/Fleet/EntryDaemon.cpp
+++ b/src/Fleet/EntryDaemon.cpp
@@ -153,7 +153,7 @@
             [this, share, expiry] { this->service.shares().setShare(share, expiry, this->trafficTimers.now()); });
     }
 
-    void setPeers(std::vector<PeerAddress> peers) override
+    void setPeers(std::vector<FleetMember> peers) override
     {
         asio::post(this->trafficContext, [this, peers = std::move(peers)] { this->service.setPeers(peers); });
     }
@@ -231,7 +231,7 @@
     static FleetControlSettings controlSettings(const EntrySettings& settings)
     {
         FleetControlSettings control;
-        control.self = { settings.vm, settings.dataCentre, settings.peerAddress };
+        control.self = { settings.vm, settings.dataCentre, settings.peerAddress, settings.processorMillis };
         control.run = settings.run;
         control.seed = stableHash(settings.vm.str() + settings.run);
         return control;
--- a/src/Fleet/EntryDaemon.h
+++ b/src/Fleet/EntryDaemon.h
@@ -44,6 +44,7 @@
     uint32_t limitSlack = 0; ///< requests by which a window may exceed its limit besides
     VmId vm;
     DataCentre dataCentre;
+    uint32_t processorMillis = 1000; ///< part of one core, in 1/1000
     std::string run; ///< differs in each run of the process
     std::string peerAddress; ///< "IP:port" for messages between VMs
     std::string readinessAddress; ///< "IP:port"
--- a/src/Fleet/FleetControl.cpp
+++ b/src/Fleet/FleetControl.cpp
@@ -228,11 +228,11 @@
     }
 }
 
-void FleetControl::fleetKnown(const std::vector<PeerAddress>& vms)
+void FleetControl::fleetKnown(const std::vector<FleetMember>& vms)
 {
     this->traffic.setPeers(vms);
     FleetSeen seen;
-    for (const PeerAddress& peer : vms)
+    for (const FleetMember& peer : vms)
         seen.vms.push_back(peer.vm);
     this->promotionEvent(seen);
     const auto own = std::find(seen.vms.begin(), seen.vms.end(), this->settings.self.vm);
--- a/src/Fleet/FleetControl.h
+++ b/src/Fleet/FleetControl.h
@@ -18,7 +18,7 @@
 namespace Lavendervane {
 
 struct FleetControlSettings {
-    PeerAddress self;
+    FleetMember self;
     std::string run; ///< differs in each run of the process
     uint64_t seed = 0;
     ShareKeeperSettings shares;
@@ -36,7 +36,7 @@
     virtual void setDirectory(std::shared_ptr<const Directory>) = 0;
     virtual void applyShare(uint32_t share, Instant expiry) = 0;
 
-    virtual void setPeers(std::vector<PeerAddress>) = 0;
+    virtual void setPeers(std::vector<FleetMember>) = 0;
     virtual void announcePromotion(const AnnouncePromotion&) = 0;
 
     /// Calls back on the control thread.
@@ -72,7 +72,7 @@
 private:
     void publish();
     void forgetLapsed();
-    void fleetKnown(const std::vector<PeerAddress>&);
+    void fleetKnown(const std::vector<FleetMember>&);
     void run(std::vector<ShareEffect>);
     void carryOut(PromotionEffect&);
     void shareTimerFired();
--- a/src/Limits/ShareKeeper.cpp
+++ b/src/Limits/ShareKeeper.cpp
@@ -39,7 +39,7 @@
     this->exchanges = this->settings.earlyExchanges;
     this->held = lease->share;
     this->expiry = now + std::chrono::milliseconds(lease->untilMs - tableNow) - this->clock.uncertainty();
-    return { ApplyShare { this->held, this->expiry }, FleetKnown { this->ledger->peers() },
+    return { ApplyShare { this->held, this->expiry }, FleetKnown { this->ledger->members() },
         SetShareTimer { now + this->randomPart(this->settings.adoptedSpread) } };
 }
 
@@ -131,6 +131,9 @@
         this->busy = false;
         this->conflictDelay
             = std::clamp(2 * this->conflictDelay, this->settings.conflictPause, this->settings.longestConflictPause);
+        // With many writers, what the conflict told is out of date after a long pause, and the write would be in vain.
+        if (this->conflictDelay > this->settings.conflictPause)
+            this->ledger.reset();
         return { SetShareTimer { now + this->randomPart(this->conflictDelay) } };
     }
     if (status != TableStatus::Done) {
@@ -150,7 +153,7 @@
     const Duration interval = ++this->exchanges < this->settings.earlyExchanges ? this->settings.earlyInterval
                                                                                 : this->settings.renewInterval;
     // The random part keeps VMs that started together from renewing together.
-    return { ApplyShare { this->held, this->expiry }, FleetKnown { this->ledger->peers() },
+    return { ApplyShare { this->held, this->expiry }, FleetKnown { this->ledger->members() },
         SetShareTimer { now + interval + this->randomPart(interval / 4) } };
 }
 
--- a/src/Limits/ShareKeeper.h
+++ b/src/Limits/ShareKeeper.h
@@ -28,9 +28,9 @@
     Duration failurePause = std::chrono::milliseconds(100);
     Duration longestFailurePause = std::chrono::milliseconds(2000);
     /// Upper bound of the random pause after another VM has changed the ledger first; it doubles with each time in a
-    /// row up to the longest. An exchange takes about 10 ms.
+    /// row up to the longest. An exchange takes about 10 ms. After a pause beyond the first, the ledger is read again.
     Duration conflictPause = std::chrono::milliseconds(20);
-    Duration longestConflictPause = std::chrono::milliseconds(320);
+    Duration longestConflictPause = std::chrono::milliseconds(640);
 };
 
 struct LedgerRead {
@@ -64,9 +64,9 @@
     Instant when;
 };
 
-/// VMs that hold shares, this one included.
+/// VMs of the ledger, this one included.
 struct FleetKnown {
-    std::vector<PeerAddress> vms;
+    std::vector<FleetMember> vms;
 };
 
 /// The shares have been given back, or could not be.
--- a/src/Limits/ShareLedger.cpp
+++ b/src/Limits/ShareLedger.cpp
@@ -6,6 +6,7 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <set>
 
 namespace Lavendervane {
 
@@ -21,6 +22,7 @@
             parsed.run = entry.at("run").get<std::string>();
             parsed.dataCentre = DataCentre(entry.at("data_centre").get<std::string>());
             parsed.address = entry.at("address").get<std::string>();
+            parsed.processorMillis = entry.at("processor").get<uint32_t>();
             parsed.untilMs = entry.at("until").get<uint64_t>();
             parsed.share = entry.at("share").get<uint32_t>();
             ledger.entries.emplace(vm, std::move(parsed));
@@ -36,7 +38,7 @@
     Json holders = Json::object();
     for (const auto& [vm, entry] : this->entries) {
         holders[vm.str()] = { { "run", entry.run }, { "data_centre", entry.dataCentre.str() },
-            { "address", entry.address }, { "until", entry.untilMs }, { "share", entry.share } };
+            { "address", entry.address }, { "processor", entry.processorMillis }, { "until", entry.untilMs }, { "share", entry.share } };
     }
     return Json { { "holders", std::move(holders) } }.dump();
 }
@@ -58,8 +60,9 @@
     entry.run = holder.run;
     entry.dataCentre = holder.peer.dataCentre;
     entry.address = holder.peer.address;
+    entry.processorMillis = holder.peer.processorMillis;
     entry.untilMs = nowMs + settings.lifetimeMs;
-    auto target = static_cast<uint32_t>(wholeShare / this->entries.size());
+    uint32_t target = this->evenShare(holder.peer.vm, settings);
     if (newcomer)
         target = std::min(target, wholeShare / settings.assumedVms);
     const uint64_t others = this->taken() - entry.share;
@@ -68,6 +71,25 @@
     return entry.share;
 }
 
+// Share that the VM has once all VMs have renewed; 0 if others of its data centre hold shares for it.
+uint32_t ShareLedger::evenShare(const VmId& vm, const Settings& settings) const
+{
+    if (this->entries.size() <= settings.assumedVms)
+        return static_cast<uint32_t>(wholeShare / this->entries.size());
+    std::set<DataCentre> dataCentres;
+    for (const auto& [other, entry] : this->entries)
+        dataCentres.insert(entry.dataCentre);
+    const uint32_t perDataCentre = std::max<uint32_t>(1, settings.holders / static_cast<uint32_t>(dataCentres.size()));
+    const Entry& own = this->entries.at(vm);
+    // Who holds a share keeps it while others join: only of too many, the ones behind in the order give theirs up.
+    uint32_t before = 0;
+    for (const auto& [other, entry] : this->entries) {
+        if (other != vm && entry.dataCentre == own.dataCentre && entry.share && (!own.share || other < vm))
+            ++before;
+    }
+    return before < perDataCentre ? wholeShare / (perDataCentre * static_cast<uint32_t>(dataCentres.size())) : 0;
+}
+
 void ShareLedger::leave(const Holder& holder)
 {
     const auto found = this->entries.find(holder.peer.vm);
@@ -83,11 +105,11 @@
     return Lease { found->second.share, found->second.untilMs };
 }
 
-std::vector<PeerAddress> ShareLedger::peers() const
+std::vector<FleetMember> ShareLedger::members() const
 {
-    std::vector<PeerAddress> all;
+    std::vector<FleetMember> all;
     for (const auto& [vm, entry] : this->entries)
-        all.push_back({ vm, entry.dataCentre, entry.address });
+        all.push_back({ vm, entry.dataCentre, entry.address, entry.processorMillis, entry.share > 0 });
     return all;
 }
 
--- a/src/Limits/ShareLedger.h
+++ b/src/Limits/ShareLedger.h
@@ -11,23 +11,26 @@
 
 namespace Lavendervane {
 
-/// How other VMs reach a VM.
-struct PeerAddress {
+/// A VM as the others know it.
+struct FleetMember {
     VmId vm;
     DataCentre dataCentre;
-    std::string address; ///< "IP:port"
+    std::string address; ///< "IP:port" for messages between VMs
+    uint32_t processorMillis = 1000; ///< part of one core, in 1/1000
+    bool holdsShare = true; ///< has a share of limits, from which it may lend
 
-    friend auto operator<=>(const PeerAddress&, const PeerAddress&) = default;
+    friend auto operator<=>(const FleetMember&, const FleetMember&) = default;
 };
 
 /// Shares of limits held by VMs, as stored in one row of the platform's table. A VM holds the same share of every
-/// organisation's limit, so that the row grows with the VMs only (about 100 bytes each). Times are in ms of the table's
-/// clock. In every state, the shares add up to `wholeShare` at most.
+/// organisation's limit, so that the row grows with the VMs only (about 110 bytes each). In a large fleet only some VMs
+/// of each data centre hold shares and the others borrow from them, because an even share would be less than one
+/// request. Times are in ms of the table's clock. In every state, the shares add up to `wholeShare` at most.
 class ShareLedger {
 public:
     /// One run of a VM's process.
     struct Holder {
-        PeerAddress peer;
+        FleetMember peer;
         std::string run;
 
         friend auto operator<=>(const Holder&, const Holder&) = default;
@@ -38,8 +41,12 @@
         /// shorter; the shares of a VM that is gone for good stay unused as long.
         uint64_t lifetimeMs = 600'000;
         uint64_t slackMs = 1'000; ///< error of clock readings
-        /// VMs for which the first ones leave room before they know of each other.
+        /// VMs for which the first ones leave room before they know of each other. In a fleet of at most this size
+        /// every VM holds a share.
         uint32_t assumedVms = 24;
+        /// VMs that hold shares in a larger fleet, over all data centres. An organisation with a burst of 4 requests
+        /// then has a third of one at each, so that a few loans make up a request.
+        uint32_t holders = 12;
     };
 
     ShareLedger() = default;
@@ -62,8 +69,8 @@
     };
     std::optional<Lease> leaseOf(const VmId&) const;
 
-    /// VMs whose share has not expired.
-    std::vector<PeerAddress> peers() const;
+    /// VMs whose entry has not expired.
+    std::vector<FleetMember> members() const;
 
     /// Sum of all shares.
     uint64_t taken() const;
@@ -75,12 +82,15 @@
         std::string run;
         DataCentre dataCentre;
         std::string address;
+        uint32_t processorMillis = 1000;
         uint64_t untilMs = 0;
         uint32_t share = 0;
 
         friend bool operator==(const Entry&, const Entry&) = default;
     };
 
+    uint32_t evenShare(const VmId&, const Settings&) const;
+
     std::map<VmId, Entry> entries;
 };
 
--- a/src/Statements/ReachabilityPoll.cpp
+++ b/src/Statements/ReachabilityPoll.cpp
@@ -20,10 +20,10 @@
         this->timers.cancel(question.timer);
 }
 
-void ReachabilityPoll::setPeers(const std::vector<PeerAddress>& peers)
+void ReachabilityPoll::setPeers(const std::vector<FleetMember>& peers)
 {
     this->addresses.clear();
-    for (const PeerAddress& peer : peers) {
+    for (const FleetMember& peer : peers) {
         if (peer.vm != this->own && !peer.address.empty())
             this->addresses.push_back(peer.address);
     }
--- a/src/Statements/ReachabilityPoll.h
+++ b/src/Statements/ReachabilityPoll.h
@@ -39,7 +39,7 @@
     ReachabilityPoll(const ReachabilityPoll&) = delete;
     ReachabilityPoll& operator=(const ReachabilityPoll&) = delete;
 
-    void setPeers(const std::vector<PeerAddress>&);
+    void setPeers(const std::vector<FleetMember>&);
     const std::vector<std::string>& peers() const { return this->addresses; }
 
     /// The callback is called once, unless this object ends first.
--- a/src/Statements/RequestAdmission.cpp
+++ b/src/Statements/RequestAdmission.cpp
@@ -25,12 +25,12 @@
     }
 }
 
-void RequestAdmission::setPeers(const std::vector<PeerAddress>& peers)
+void RequestAdmission::setPeers(const std::vector<FleetMember>& peers)
 {
     this->near.clear();
     this->far.clear();
-    for (const PeerAddress& peer : peers) {
-        if (peer.vm == this->own || peer.address.empty())
+    for (const FleetMember& peer : peers) {
+        if (peer.vm == this->own || peer.address.empty() || !peer.holdsShare)
             continue;
         (peer.dataCentre == this->dataCentre ? this->near : this->far).push_back(peer.address);
     }
--- a/src/Statements/RequestAdmission.h
+++ b/src/Statements/RequestAdmission.h
@@ -38,7 +38,7 @@
     RequestAdmission(const RequestAdmission&) = delete;
     RequestAdmission& operator=(const RequestAdmission&) = delete;
 
-    void setPeers(const std::vector<PeerAddress>&);
+    void setPeers(const std::vector<FleetMember>&);
 
     /// Calls back once, possibly from within this call. Returns a number for `cancel`.
     uint64_t admit(const OrganisationId&, Callback);
--- a/src/Statements/StatementService.cpp
+++ b/src/Statements/StatementService.cpp
@@ -162,7 +162,7 @@
     }
 }
 
-void StatementService::setPeers(const std::vector<PeerAddress>& vms)
+void StatementService::setPeers(const std::vector<FleetMember>& vms)
 {
     this->admissions.setPeers(vms);
     this->poll.setPeers(vms);
--- a/src/Statements/StatementService.h
+++ b/src/Statements/StatementService.h
@@ -85,7 +85,7 @@
     /// Null if the group has no endpoints.
     GroupTraffic* findGroup(const GroupId&);
 
-    void setPeers(const std::vector<PeerAddress>&);
+    void setPeers(const std::vector<FleetMember>&);
 
     /// Asks endpoints of a group for their status.
     void inspect(const GroupId&, const std::vector<EndpointId>&, const StatusesCallback&);
