--- a/src/Fleet/Directory.cpp
+++ b/src/Fleet/Directory.cpp
@@ -51,6 +51,12 @@
     return std::max(1U, group->connectionsPerEndpoint / vms + extra);
 }
 
+bool Directory::isRelayed(const RegisteredEndpoint& endpoint) const
+{
+    const GroupDeclaration* group = this->findGroup(endpoint.group);
+    return group && group->connectionsPerEndpoint < this->place.count;
+}
+
 const GroupDeclaration* Directory::findGroup(const GroupId& name) const { return findIn(this->groups, name); }
 
 } // namespace Lavendervane
--- a/src/Fleet/Directory.h
+++ b/src/Fleet/Directory.h
@@ -75,6 +75,12 @@
     EndpointRole role = EndpointRole::Replica;
     uint64_t startedAt = 0; ///< Unix time in ms; another value means that the endpoint started again
 
+    /// False if the other is another endpoint or an earlier or later run of this one.
+    bool sameRun(const RegisteredEndpoint& other) const
+    {
+        return this->id == other.id && this->address == other.address && this->startedAt == other.startedAt;
+    }
+
     friend bool operator==(const RegisteredEndpoint&, const RegisteredEndpoint&) = default;
 };
 
@@ -102,6 +108,9 @@
     /// remainder of the division goes to other VMs for each endpoint.
     uint32_t connectionPart(const RegisteredEndpoint&) const;
 
+    /// True if the endpoint accepts fewer connections than there are VMs, so that statements go over its owners.
+    bool isRelayed(const RegisteredEndpoint&) const;
+
     /// Null if there is no such route.
     const SessionRoute* findRoute(const std::string& database) const;
 
--- a/src/Fleet/EntryDaemon.cpp
+++ b/src/Fleet/EntryDaemon.cpp
@@ -3,6 +3,7 @@
 #include "Fleet/FleetControl.h"
 #include "Http/HttpServer.h"
 #include "Peers/DatagramPeers.h"
+#include "Relay/TcpRelay.h"
 #include "Runtime/AsioTimers.h"
 #include "Runtime/StructuredLog.h"
 #include "Statements/StatementService.h"
@@ -106,8 +107,9 @@
         , orders(parts.makePromotionOrders(this->controlContext))
         , connector(parts.makeConnector(this->trafficContext))
         , peers(this->trafficContext, this->settings.peerAddress)
-        , service(serviceSettings(this->settings), this->trafficTimers, *this->connector, this->peers, *this,
-              this->requestLog)
+        , relay(this->trafficContext, this->settings.peerAddress)
+        , service(serviceSettings(this->settings), this->trafficTimers, *this->connector, this->peers, this->relay,
+              *this, this->requestLog)
         , control(controlSettings(this->settings), this->controlTimers, *this->table, *this->orders, *this, this->log)
         , listener(parts.makeCallerListener(this->trafficContext, this->service))
         , signals(this->controlContext, SIGTERM, SIGINT, SIGHUP)
@@ -281,7 +283,7 @@
     // On the traffic thread: ends early once no session is left.
     void watchSessions()
     {
-        if (this->service.sessionCount()) {
+        if (this->service.sessionCount() || this->service.relayedWork()) {
             this->trafficTimers.schedule(this->trafficTimers.now() + stopInterval, [this] { this->watchSessions(); });
             return;
         }
@@ -313,6 +315,7 @@
     std::unique_ptr<PromotionOrders> orders;
     std::unique_ptr<EndpointConnector> connector;
     DatagramPeers peers;
+    TcpRelay relay;
     StatementService service;
     FleetControl control;
     std::unique_ptr<CallerListener> listener;
--- /dev/null
+++ b/src/Relay/OwnerPlacement.cpp
@@ -0,0 +1,66 @@
+#include "Relay/OwnerPlacement.h"
+
+#include "Core/RandomGenerator.h"
+#include "Core/Rendezvous.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace Lavendervane {
+
+OwnerPlacement::OwnerPlacement(OwnerPlacementSettings settings)
+    : settings(settings)
+{
+}
+
+void OwnerPlacement::setMembers(std::vector<FleetMember> vms) { this->members = std::move(vms); }
+
+using Scored = std::pair<double, const FleetMember*>;
+
+static bool isBetter(const Scored& left, const Scored& right)
+{
+    return left.first != right.first ? left.first > right.first : left.second->vm < right.second->vm;
+}
+
+// Weighted rendezvous hashing: with u uniform in (0, 1), -w / ln(u) is largest with a probability in proportion to w.
+static double score(const FleetMember& member, uint64_t keyHash, uint32_t weight)
+{
+    constexpr double range = 18446744073709551616.0; // 2^64
+    const uint64_t hash = RandomGenerator(keyHash ^ stableHash(member.vm.str())).next();
+    const double uniform = (static_cast<double>(hash) + 0.5) / range;
+    return -static_cast<double>(weight) / std::log(uniform);
+}
+
+std::vector<FleetMember> OwnerPlacement::candidates(
+    const EndpointId& endpoint, const DataCentre& dataCentre, const OrganisationId& organisation) const
+{
+    const bool local = std::any_of(this->members.begin(), this->members.end(),
+        [&dataCentre](const FleetMember& member) { return member.dataCentre == dataCentre; });
+    const uint64_t endpointHash = stableHash(endpoint.str());
+    std::vector<Scored> scored;
+    for (const FleetMember& member : this->members) {
+        if (!local || member.dataCentre == dataCentre)
+            scored.emplace_back(score(member, endpointHash, member.processorMillis), &member);
+    }
+    const size_t kept = std::min<size_t>(this->settings.ownersPerEndpoint + this->settings.substitutes, scored.size());
+    const auto end = scored.begin() + static_cast<std::ptrdiff_t>(kept);
+    std::partial_sort(scored.begin(), end, scored.end(), isBetter);
+    scored.resize(kept);
+    const size_t owners = std::min<size_t>(this->settings.ownersPerEndpoint, kept);
+    const uint64_t organisationHash = stableHash(endpoint.str() + "/" + organisation.str());
+    for (size_t index = 0; index < owners; ++index)
+        scored[index].first = score(*scored[index].second, organisationHash, 1);
+    std::sort(scored.begin(), scored.begin() + static_cast<std::ptrdiff_t>(owners), isBetter);
+    std::vector<FleetMember> ranked;
+    for (const Scored& entry : scored)
+        ranked.push_back(*entry.second);
+    return ranked;
+}
+
+uint32_t OwnerPlacement::connectionsPerOwner(uint32_t connections) const
+{
+    return std::max(1U, connections / this->settings.ownersPerEndpoint);
+}
+
+} // namespace Lavendervane
--- /dev/null
+++ b/src/Relay/OwnerPools.cpp
@@ -0,0 +1,66 @@
+#include "Relay/OwnerPools.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace Lavendervane {
+
+OwnerPools::OwnerPools(Timers& timers, EndpointConnector& connector, EndpointObserver& observer)
+    : timers(timers)
+    , connector(connector)
+    , observer(observer)
+{
+}
+
+static const RegisteredEndpoint* findEndpoint(const Directory& directory, const EndpointId& id)
+{
+    const auto found = std::find_if(directory.endpoints().begin(), directory.endpoints().end(),
+        [&id](const RegisteredEndpoint& endpoint) { return endpoint.id == id; });
+    return found == directory.endpoints().end() ? nullptr : &*found;
+}
+
+uint32_t OwnerPools::limitOf(const RegisteredEndpoint& endpoint) const
+{
+    const GroupDeclaration* group = this->directory->findGroup(endpoint.group);
+    return group ? this->limit(group->connectionsPerEndpoint) : 1;
+}
+
+void OwnerPools::setDirectory(std::shared_ptr<const Directory> next, std::function<uint32_t(uint32_t)> connectionLimit)
+{
+    this->directory = std::move(next);
+    this->limit = std::move(connectionLimit);
+    for (auto entry = this->pools.begin(); entry != this->pools.end();) {
+        EndpointPool& pool = *entry->second;
+        const RegisteredEndpoint* present = findEndpoint(*this->directory, entry->first);
+        if (present && present->sameRun(pool.endpoint())) {
+            pool.update(*present);
+            pool.setConnectionLimit(this->limitOf(*present));
+            ++entry;
+        } else {
+            pool.retire();
+            entry = this->pools.erase(entry);
+        }
+    }
+}
+
+std::shared_ptr<EndpointPool> OwnerPools::find(const EndpointId& id)
+{
+    if (const auto known = this->pools.find(id); known != this->pools.end())
+        return known->second;
+    const RegisteredEndpoint* endpoint = this->directory ? findEndpoint(*this->directory, id) : nullptr;
+    if (!endpoint)
+        return nullptr;
+    auto pool = std::make_shared<EndpointPool>(*endpoint, this->timers, this->connector, this->observer);
+    pool->setConnectionLimit(this->limitOf(*endpoint));
+    this->pools.emplace(id, pool);
+    return pool;
+}
+
+void OwnerPools::retireAll()
+{
+    for (const auto& [id, pool] : std::exchange(this->pools, {}))
+        pool->retire();
+    this->directory.reset();
+}
+
+} // namespace Lavendervane
--- /dev/null
+++ b/src/Relay/Relay.cpp
@@ -0,0 +1,315 @@
+#include "Relay/Relay.h"
+
+#include "Relay/SharedLink.h"
+
+#include <algorithm>
+#include <optional>
+#include <utility>
+
+namespace Lavendervane {
+
+/// A link of this VM over an owner.
+class Relay::Link : public EndpointLink, public LinkListener, public std::enable_shared_from_this<Link> {
+public:
+    Link(Relay& relay, LinkTarget target, LinkListener& listener, uint64_t number)
+        : relay(relay)
+        , target(std::move(target))
+        , listener(&listener)
+        , number(number)
+    {
+    }
+
+    ~Link() override { this->end(); }
+
+    void start()
+    {
+        this->remaining = this->relay.candidates(this->target);
+        // The listener hears nothing from within the call that opens the link.
+        this->timer = this->relay.timers.schedule(this->relay.timers.now(), [this] {
+            this->timer.reset();
+            this->tryNext();
+        });
+    }
+
+    void send(const std::vector<Statement>& statements, Instant deadline) override
+    {
+        if (this->local) {
+            this->local->send(statements, deadline);
+            return;
+        }
+        const auto within
+            = std::chrono::duration_cast<std::chrono::milliseconds>(deadline - this->relay.timers.now()).count();
+        this->relay.transport.send(
+            this->channel, RelayBatch { this->number, static_cast<uint64_t>(std::max<int64_t>(within, 1)), statements });
+    }
+
+    void close() override
+    {
+        this->listener = nullptr;
+        this->end();
+    }
+
+    RelayChannel channelUsed() const { return this->channel; }
+
+    void channelClosed()
+    {
+        if (this->isOpen)
+            this->fail(LinkFailure::Broken, AnswerCode::Busy, "the connection to the owner broke");
+        else
+            this->ownerFailed(LinkFailure::Unreachable, AnswerCode::Busy, "the owner cannot be reached", true);
+    }
+
+    void linkConnected() override { }
+
+    void linkOpened() override
+    {
+        this->cancelTimer();
+        this->isOpen = true;
+        if (this->listener)
+            this->listener->linkConnected();
+        if (this->listener)
+            this->listener->linkOpened();
+    }
+
+    void linkAnswered(std::vector<EndpointAnswer> answers) override
+    {
+        if (this->listener)
+            this->listener->linkAnswered(std::move(answers));
+    }
+
+    void linkFailed(LinkFailure failure, AnswerCode code, const std::string& message) override
+    {
+        if (this->isOpen)
+            this->fail(failure, code, message);
+        else
+            this->ownerFailed(failure, code, message, false);
+    }
+
+private:
+    void tryNext()
+    {
+        if (this->remaining.empty() || this->silent >= this->relay.settings.silentOwners) {
+            this->fail(this->lastFailure, this->lastCode, this->lastMessage);
+            return;
+        }
+        const FleetMember owner = this->remaining.front();
+        this->remaining.erase(this->remaining.begin());
+        if (owner.vm == this->relay.own) {
+            this->openHere();
+            return;
+        }
+        this->address = owner.address;
+        this->channel = this->relay.channelTo(this->address);
+        this->relay.transport.send(this->channel,
+            RelayOpen { this->number, this->target.group, this->target.endpoint, this->target.organisation });
+        const Instant asked = this->relay.timers.now();
+        this->timer = this->relay.timers.schedule(asked + this->relay.settings.ownerTimeout, [this, asked] {
+            this->timer.reset();
+            const auto self = this->shared_from_this();
+            // Nothing at all since the question: the connection may be dead although its system keeps it.
+            if (this->relay.owners[this->address].lastHeard < asked)
+                this->relay.ownerSilent(this->address);
+            else
+                this->ownerFailed(LinkFailure::Unreachable, AnswerCode::Busy, "the owner is too slow", true);
+        });
+    }
+
+    void openHere()
+    {
+        const auto pool = this->relay.pools.find(this->target.endpoint);
+        if (!pool) {
+            this->ownerFailed(LinkFailure::Rejected, AnswerCode::WrongEndpoint, "the endpoint has left", false);
+            return;
+        }
+        this->local
+            = SharedLink::open(pool, this->target.organisation, this->relay.numbers, this->relay.timers, *this);
+    }
+
+    void ownerFailed(LinkFailure failure, AnswerCode code, const std::string& message, bool wasSilent)
+    {
+        this->cancelTimer();
+        this->releaseOwner();
+        this->silent += wasSilent;
+        this->lastFailure = failure;
+        this->lastCode = code;
+        this->lastMessage = message;
+        if (this->listener)
+            this->tryNext();
+    }
+
+    void fail(LinkFailure failure, AnswerCode code, const std::string& message)
+    {
+        const auto self = this->weak_from_this().lock();
+        LinkListener* receiver = std::exchange(this->listener, nullptr);
+        this->end();
+        if (receiver)
+            receiver->linkFailed(failure, code, message);
+    }
+
+    void releaseOwner()
+    {
+        if (auto closed = std::exchange(this->local, nullptr))
+            closed->close();
+        if (this->channel)
+            this->relay.transport.send(std::exchange(this->channel, 0), RelayClose { this->number });
+    }
+
+    void end()
+    {
+        this->cancelTimer();
+        this->releaseOwner();
+        this->relay.links.erase(this->number);
+    }
+
+    void cancelTimer()
+    {
+        if (this->timer)
+            this->relay.timers.cancel(*std::exchange(this->timer, std::nullopt));
+    }
+
+    Relay& relay;
+    LinkTarget target;
+    LinkListener* listener;
+    uint64_t number;
+    std::vector<FleetMember> remaining; ///< owners that have not been tried
+    std::string address; ///< of the owner in use
+    RelayChannel channel = 0; ///< to the owner; 0 if it is this VM
+    std::shared_ptr<SharedLink> local; ///< if this VM is the owner
+    uint32_t silent = 0; ///< owners that did not answer
+    bool isOpen = false;
+    LinkFailure lastFailure = LinkFailure::Unreachable;
+    AnswerCode lastCode = AnswerCode::Busy;
+    std::string lastMessage = "no owner is known";
+    std::optional<Timers::Handle> timer;
+};
+
+Relay::Relay(VmId own, Timers& timers, EndpointConnector& connector, RelayTransport& transport,
+    EndpointObserver& observer, PreparedNumbers& numbers, RelaySettings settings)
+    : own(std::move(own))
+    , timers(timers)
+    , transport(transport)
+    , numbers(numbers)
+    , settings(settings)
+    , pools(timers, connector, observer)
+    , server(timers, transport, this->pools, numbers)
+{
+    transport.setListener(this);
+}
+
+Relay::~Relay() { this->transport.setListener(nullptr); }
+
+void Relay::setDirectory(const std::shared_ptr<const Directory>& next)
+{
+    this->directory = next;
+    this->pools.setDirectory(
+        next, [this](uint32_t connections) { return this->placement.connectionsPerOwner(connections); });
+}
+
+void Relay::setMembers(std::vector<FleetMember> members) { this->placement.setMembers(std::move(members)); }
+
+std::shared_ptr<EndpointLink> Relay::connect(const LinkTarget& target, LinkListener& listener)
+{
+    const uint64_t number = ++this->lastLink;
+    const auto link = std::make_shared<Link>(*this, target, listener, number);
+    this->links.emplace(number, link);
+    link->start();
+    return link;
+}
+
+// Owners that were silent lately come last, so that not every link waits for them.
+std::vector<FleetMember> Relay::candidates(const LinkTarget& target) const
+{
+    const auto endpoints = this->directory ? this->directory->endpoints() : std::vector<RegisteredEndpoint>();
+    const auto endpoint = std::find_if(endpoints.begin(), endpoints.end(),
+        [&target](const RegisteredEndpoint& known) { return known.id == target.endpoint; });
+    if (endpoint == endpoints.end())
+        return {};
+    auto all = this->placement.candidates(target.endpoint, endpoint->dataCentre, target.organisation);
+    const Instant now = this->timers.now();
+    std::stable_partition(all.begin(), all.end(), [this, now](const FleetMember& member) {
+        const auto owner = this->owners.find(member.address);
+        return member.vm == this->own || owner == this->owners.end() || owner->second.silentUntil <= now;
+    });
+    return all;
+}
+
+RelayChannel Relay::channelTo(const std::string& address)
+{
+    Owner& owner = this->owners[address];
+    if (!owner.channel) {
+        owner.channel = this->transport.open(address);
+        this->addresses[owner.channel] = address;
+    }
+    return owner.channel;
+}
+
+void Relay::ownerSilent(const std::string& address)
+{
+    const RelayChannel channel = this->owners[address].channel;
+    if (!channel)
+        return;
+    this->transport.close(channel);
+    this->relayClosed(channel);
+}
+
+std::shared_ptr<Relay::Link> Relay::find(RelayChannel channel, uint64_t number) const
+{
+    const auto known = this->links.find(number);
+    const auto link = known == this->links.end() ? nullptr : known->second.lock();
+    return link && link->channelUsed() == channel ? link : nullptr;
+}
+
+void Relay::relayReceived(RelayChannel channel, RelayMessage message)
+{
+    if (const auto* open = std::get_if<RelayOpen>(&message)) {
+        this->server.opened(channel, *open);
+    } else if (const auto* batch = std::get_if<RelayBatch>(&message)) {
+        this->server.batchReceived(channel, *batch);
+    } else if (const auto* close = std::get_if<RelayClose>(&message)) {
+        this->server.linkClosed(channel, *close);
+    } else {
+        if (const auto address = this->addresses.find(channel); address != this->addresses.end()) {
+            Owner& owner = this->owners[address->second];
+            owner.lastHeard = this->timers.now();
+            owner.pause = {};
+        }
+        if (const auto* opened = std::get_if<RelayOpened>(&message)) {
+            if (const auto link = this->find(channel, opened->link))
+                link->linkOpened();
+        } else if (auto* answers = std::get_if<RelayAnswers>(&message)) {
+            if (const auto link = this->find(channel, answers->link))
+                link->linkAnswered(std::move(answers->answers));
+        } else if (const auto* failed = std::get_if<RelayFailed>(&message)) {
+            if (const auto link = this->find(channel, failed->link))
+                link->linkFailed(failed->failure, failed->code, failed->message);
+        }
+    }
+}
+
+void Relay::relayClosed(RelayChannel channel)
+{
+    const auto known = this->addresses.find(channel);
+    if (known == this->addresses.end()) {
+        this->server.channelClosed(channel);
+        return;
+    }
+    Owner& owner = this->owners[known->second];
+    owner.channel = 0;
+    owner.pause = std::clamp(2 * owner.pause, this->settings.silencePause, this->settings.longestSilencePause);
+    owner.silentUntil = this->timers.now() + owner.pause;
+    this->addresses.erase(known);
+    std::vector<std::shared_ptr<Link>> ended;
+    for (const auto& [number, weak] : this->links) {
+        if (const auto link = weak.lock(); link && link->channelUsed() == channel)
+            ended.push_back(link);
+    }
+    for (const auto& link : ended)
+        link->channelClosed();
+}
+
+void Relay::shutDown()
+{
+    this->pools.retireAll();
+}
+
+} // namespace Lavendervane
--- /dev/null
+++ b/src/Relay/RelayMessages.cpp
@@ -0,0 +1,175 @@
+#include "Relay/RelayMessages.h"
+
+#include <nlohmann/json.hpp>
+
+namespace Lavendervane {
+
+using Json = nlohmann::json;
+
+// A message is an array: its kind, then its fields in order. Kinds and the values of enumerations are part of the
+// protocol and keep their numbers.
+namespace {
+
+enum Kind : uint64_t {
+    OpenKind = 1,
+    OpenedKind = 2,
+    BatchKind = 3,
+    AnswersKind = 4,
+    FailedKind = 5,
+    CloseKind = 6,
+};
+
+} // namespace
+
+static Json encodePosition(const std::optional<LogPosition>& position)
+{
+    if (!position)
+        return nullptr;
+    return Json::array({ position->term.counter, position->term.vm.str(), position->position });
+}
+
+static LogPosition readPosition(const Json& json)
+{
+    return { { json.at(0).get<uint64_t>(), VmId(json.at(1).get<std::string>()) }, json.at(2).get<uint64_t>() };
+}
+
+static std::optional<LogPosition> decodePosition(const Json& json)
+{
+    if (json.is_null())
+        return std::nullopt;
+    return readPosition(json);
+}
+
+// Throws Json::exception if the number is not one of the enumeration's first `count` values.
+template <typename Enumeration> static Enumeration decodeEnumeration(const Json& json, Enumeration last)
+{
+    const auto value = json.get<uint64_t>();
+    if (value > static_cast<uint64_t>(last))
+        throw Json::other_error::create(500, "unknown value", &json);
+    return static_cast<Enumeration>(value);
+}
+
+static Json encodeStatement(const Statement& statement)
+{
+    return Json::array({ static_cast<uint64_t>(statement.kind), statement.id, statement.text, statement.name,
+        static_cast<uint64_t>(statement.effect), statement.term, encodePosition(statement.requiredPosition) });
+}
+
+static Statement decodeStatement(const Json& json)
+{
+    Statement statement;
+    statement.kind = decodeEnumeration(json.at(0), StatementKind::Malformed);
+    statement.id = json.at(1).get<std::string>();
+    statement.text = json.at(2).get<std::string>();
+    statement.name = json.at(3).get<std::string>();
+    statement.effect = decodeEnumeration(json.at(4), PreparedEffect::Write);
+    statement.term = json.at(5).get<uint64_t>();
+    statement.requiredPosition = decodePosition(json.at(6));
+    return statement;
+}
+
+static Json encodeAnswer(const EndpointAnswer& answer)
+{
+    Json status;
+    if (answer.status)
+        status = Json::array({ static_cast<uint64_t>(answer.status->role), answer.status->term,
+            encodePosition(answer.status->received) });
+    return Json::array({ static_cast<uint64_t>(answer.code), answer.result, answer.message,
+        static_cast<uint64_t>(answer.state), encodePosition(answer.position), std::move(status) });
+}
+
+static EndpointAnswer decodeAnswer(const Json& json)
+{
+    EndpointAnswer answer;
+    answer.code = decodeEnumeration(json.at(0), AnswerCode::TooLarge);
+    answer.result = json.at(1).get<std::string>();
+    answer.message = json.at(2).get<std::string>();
+    answer.state = decodeEnumeration(json.at(3), TransactionState::Failed);
+    answer.position = decodePosition(json.at(4));
+    if (const Json& status = json.at(5); !status.is_null())
+        answer.status = EndpointStatus { decodeEnumeration(status.at(0), EndpointRole::Replica),
+            status.at(1).get<uint64_t>(), readPosition(status.at(2)) };
+    return answer;
+}
+
+namespace {
+
+struct Encoder {
+    Json operator()(const RelayOpen& message) const
+    {
+        return Json::array({ OpenKind, message.link, message.group.str(), message.endpoint.str(),
+            message.organisation.str() });
+    }
+    Json operator()(const RelayOpened& message) const { return Json::array({ OpenedKind, message.link }); }
+    Json operator()(const RelayBatch& message) const
+    {
+        Json statements = Json::array();
+        for (const Statement& statement : message.statements)
+            statements.push_back(encodeStatement(statement));
+        return Json::array({ BatchKind, message.link, message.withinMs, std::move(statements) });
+    }
+    Json operator()(const RelayAnswers& message) const
+    {
+        Json answers = Json::array();
+        for (const EndpointAnswer& answer : message.answers)
+            answers.push_back(encodeAnswer(answer));
+        return Json::array({ AnswersKind, message.link, std::move(answers) });
+    }
+    Json operator()(const RelayFailed& message) const
+    {
+        return Json::array({ FailedKind, message.link, static_cast<uint64_t>(message.failure),
+            static_cast<uint64_t>(message.code), message.message });
+    }
+    Json operator()(const RelayClose& message) const { return Json::array({ CloseKind, message.link }); }
+};
+
+} // namespace
+
+static std::optional<RelayMessage> decode(const Json& json)
+{
+    const auto link = json.at(1).get<uint64_t>();
+    switch (json.at(0).get<uint64_t>()) {
+    case OpenKind:
+        return RelayOpen { link, GroupId(json.at(2).get<std::string>()), EndpointId(json.at(3).get<std::string>()),
+            OrganisationId(json.at(4).get<std::string>()) };
+    case OpenedKind:
+        return RelayOpened { link };
+    case BatchKind: {
+        RelayBatch batch { link, json.at(2).get<uint64_t>(), {} };
+        for (const Json& statement : json.at(3))
+            batch.statements.push_back(decodeStatement(statement));
+        return batch;
+    }
+    case AnswersKind: {
+        RelayAnswers answers { link, {} };
+        for (const Json& answer : json.at(2))
+            answers.answers.push_back(decodeAnswer(answer));
+        return answers;
+    }
+    case FailedKind:
+        return RelayFailed { link, decodeEnumeration(json.at(2), LinkFailure::Broken),
+            decodeEnumeration(json.at(3), AnswerCode::TooLarge), json.at(4).get<std::string>() };
+    case CloseKind:
+        return RelayClose { link };
+    default:
+        return std::nullopt; // from a newer version of the program
+    }
+}
+
+std::string encodeRelayMessage(const RelayMessage& message)
+{
+    std::string bytes;
+    Json::to_cbor(std::visit(Encoder {}, message), bytes);
+    return bytes;
+}
+
+std::optional<RelayMessage> decodeRelayMessage(std::string_view bytes)
+{
+    try {
+        return decode(Json::from_cbor(bytes));
+    } catch (const Json::exception&) {
+        return std::nullopt; // the caller closes the connection and logs it
+    }
+}
+
+} // namespace Lavendervane
--- /dev/null
+++ b/src/Relay/TcpRelay.cpp
@@ -0,0 +1,191 @@
+#include "Relay/TcpRelay.h"
+
+#include "Core/Error.h"
+#include "Http/Address.h"
+#include "Runtime/StreamSocket.h"
+
+#include <boost/asio/post.hpp>
+#include <glog/logging.h>
+
+#include <array>
+#include <optional>
+#include <utility>
+
+namespace Lavendervane {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using boost::system::error_code;
+
+static constexpr size_t lengthBytes = 4;
+// A batch holds one statement and its answer of at most 1 MiB each, and little besides.
+static constexpr size_t frameLimit = 4 * 1024 * 1024;
+
+static std::string encodeLength(size_t length)
+{
+    std::string bytes(lengthBytes, '\0');
+    for (size_t index = 0; index < lengthBytes; ++index)
+        bytes[index] = static_cast<char>(length >> (8 * (lengthBytes - 1 - index)));
+    return bytes;
+}
+
+static size_t decodeLength(std::string_view bytes)
+{
+    size_t length = 0;
+    for (size_t index = 0; index < lengthBytes; ++index)
+        length = length << 8 | static_cast<unsigned char>(bytes[index]);
+    return length;
+}
+
+/// Connection to one VM. The transport gives it up before it ends itself.
+class TcpRelay::Connection : public StreamSocket {
+public:
+    Connection(tcp::socket socket, TcpRelay& relay, RelayChannel channel)
+        : StreamSocket(std::move(socket))
+        , relay(&relay)
+        , channel(channel)
+    {
+    }
+
+    void forgetRelay() { this->relay = nullptr; }
+
+private:
+    void bytesReceived(std::string_view bytes) override
+    {
+        const auto self = this->shared_from_this();
+        this->partial.append(bytes);
+        size_t start = 0;
+        while (this->relay && this->partial.size() - start >= lengthBytes) {
+            const std::string_view rest = std::string_view(this->partial).substr(start);
+            const size_t length = decodeLength(rest);
+            if (length > frameLimit) {
+                this->relay->ended(this->channel, "a message is over the limit");
+                return;
+            }
+            if (rest.size() < lengthBytes + length)
+                break;
+            start += lengthBytes + length;
+            this->relay->received(this->channel, rest.substr(lengthBytes, length));
+        }
+        this->partial.erase(0, start);
+    }
+
+    void socketConnected() override { }
+
+    void socketFailed(const error_code& error) override
+    {
+        if (this->relay)
+            this->relay->ended(this->channel, error.message());
+    }
+
+    TcpRelay* relay;
+    RelayChannel channel;
+    std::string partial; ///< bytes of a message whose end has not arrived
+};
+
+static tcp::endpoint toTcp(const std::string& address)
+{
+    const auto parsed = parseAddress(address);
+    return { parsed.address(), parsed.port() };
+}
+
+TcpRelay::TcpRelay(asio::io_context& context, const std::string& address)
+    : context(context)
+    , acceptor(context)
+{
+    try {
+        const tcp::endpoint local = toTcp(address);
+        this->acceptor.open(local.protocol());
+        this->acceptor.set_option(tcp::acceptor::reuse_address(true));
+        this->acceptor.bind(local);
+        this->acceptor.listen();
+    } catch (const boost::system::system_error& error) {
+        throw Error("listen for relays", address, error.what());
+    }
+    this->accept();
+}
+
+TcpRelay::~TcpRelay()
+{
+    this->listener = nullptr;
+    for (const auto& [channel, connection] : std::exchange(this->connections, {})) {
+        connection->forgetRelay();
+        connection->close();
+    }
+}
+
+void TcpRelay::accept()
+{
+    this->acceptor.async_accept([this](const error_code& error, tcp::socket socket) {
+        if (error == asio::error::operation_aborted)
+            return;
+        if (error) {
+            LOG_EVERY_N(WARNING, 100) << "accept a relay connection: " << error.message();
+        } else {
+            this->connections.at(this->add(std::move(socket)))->start();
+        }
+        this->accept();
+    });
+}
+
+RelayChannel TcpRelay::add(tcp::socket socket)
+{
+    const RelayChannel channel = ++this->last;
+    this->connections.emplace(channel, std::make_shared<Connection>(std::move(socket), *this, channel));
+    return channel;
+}
+
+RelayChannel TcpRelay::open(const std::string& address)
+{
+    const RelayChannel channel = this->add(tcp::socket(this->context));
+    try {
+        this->connections.at(channel)->connect(toTcp(address), "");
+    } catch (const Error& error) {
+        asio::post(this->context,
+            [this, channel, reason = std::string(error.what())] { this->ended(channel, reason); });
+    }
+    return channel;
+}
+
+void TcpRelay::send(RelayChannel channel, const RelayMessage& message)
+{
+    const auto connection = this->connections.find(channel);
+    if (connection == this->connections.end())
+        return;
+    const std::string body = encodeRelayMessage(message);
+    connection->second->write(encodeLength(body.size()) + body);
+}
+
+void TcpRelay::close(RelayChannel channel)
+{
+    const auto known = this->connections.find(channel);
+    if (known == this->connections.end())
+        return;
+    const auto connection = known->second;
+    this->connections.erase(known);
+    connection->forgetRelay();
+    connection->close();
+}
+
+void TcpRelay::received(RelayChannel channel, std::string_view frame)
+{
+    auto message = decodeRelayMessage(frame);
+    if (!message) {
+        this->ended(channel, "a message cannot be read");
+        return;
+    }
+    if (this->listener)
+        this->listener->relayReceived(channel, std::move(*message));
+}
+
+void TcpRelay::ended(RelayChannel channel, const std::string& reason)
+{
+    if (this->connections.find(channel) == this->connections.end())
+        return;
+    LOG_EVERY_N(INFO, 20) << "relay connection " << channel << " ended: " << reason;
+    this->close(channel);
+    if (this->listener)
+        this->listener->relayClosed(channel);
+}
+
+} // namespace Lavendervane
--- /dev/null
+++ b/src/Relay/TcpRelay.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "Relay/RelayTransport.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+#include <map>
+#include <memory>
+#include <string>
+
+namespace Lavendervane {
+
+/// Relay messages over TCP, each behind its length in four bytes, most significant first.
+class TcpRelay : public RelayTransport {
+public:
+    /// Accepts other VMs at `address` ("IP:port"). Throws Error (step "listen for relays").
+    TcpRelay(boost::asio::io_context&, const std::string& address);
+    ~TcpRelay() override;
+
+    RelayChannel open(const std::string& address) override;
+    void send(RelayChannel, const RelayMessage&) override;
+    void close(RelayChannel) override;
+    void setListener(RelayTransportListener* target) override { this->listener = target; }
+
+private:
+    class Connection;
+
+    void accept();
+    RelayChannel add(boost::asio::ip::tcp::socket);
+    void received(RelayChannel, std::string_view frame);
+    void ended(RelayChannel, const std::string& reason);
+
+    boost::asio::io_context& context;
+    boost::asio::ip::tcp::acceptor acceptor;
+    RelayTransportListener* listener = nullptr;
+    std::map<RelayChannel, std::shared_ptr<Connection>> connections;
+    RelayChannel last = 0;
+};
+
+} // namespace Lavendervane
--- a/src/Statements/EndpointLink.h
+++ b/src/Statements/EndpointLink.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Core/Identifiers.h"
+#include "Core/Instant.h"
 #include "Statements/Statement.h"
 #include "Statements/StatementAnswer.h"
 
@@ -50,8 +51,9 @@
 public:
     virtual ~EndpointLink() = default;
 
-    /// Sends all statements in one write. The previous batch must have been answered.
-    virtual void send(const std::vector<Statement>&) = 0;
+    /// Sends all statements in one write. The previous batch must have been answered. An answer after `deadline` is of
+    /// no use.
+    virtual void send(const std::vector<Statement>&, Instant deadline) = 0;
 
     /// Closes the link. No call to the listener follows.
     virtual void close() = 0;
--- a/src/Statements/GroupTraffic.cpp
+++ b/src/Statements/GroupTraffic.cpp
@@ -18,40 +18,61 @@
 // A sign of life this young shows that the endpoint is reachable.
 static constexpr Duration recentlyHeard = std::chrono::milliseconds(250);
 
-GroupTraffic::GroupTraffic(
-    GroupId name, DataCentre own, Timers& timers, EndpointConnector& connector, EndpointObserver& observer)
+// Links over an owner cost neither a slot nor one of the endpoint's connections, so a VM may have one for each
+// organisation with statements under way.
+static constexpr uint32_t relayedLinks = 64;
+// Longest time to find an owner that answers, several silent ones included.
+static constexpr Duration relayedOpenTimeout = std::chrono::milliseconds(1500);
+// Expected time of a round trip to an owner within a region.
+static constexpr Duration relayedOpenTime = std::chrono::milliseconds(3);
+
+GroupTraffic::GroupTraffic(GroupId name, DataCentre own, Timers& timers, EndpointConnector& direct,
+    EndpointConnector& relay, EndpointObserver& observer)
     : name(std::move(name))
     , dataCentre(std::move(own))
     , timers(timers)
-    , connector(connector)
+    , direct(direct)
+    , relay(relay)
     , observer(observer)
 {
 }
 
+GroupTraffic::Member GroupTraffic::makeMember(const RegisteredEndpoint& endpoint, bool relayed)
+{
+    EndpointPoolSettings settings;
+    if (relayed) {
+        settings.connectTimeout = relayedOpenTimeout;
+        settings.concurrentOpens = relayedLinks;
+        settings.assumedOpenTime = relayedOpenTime;
+    }
+    EndpointConnector& connector = relayed ? this->relay : this->direct;
+    return { std::make_shared<EndpointPool>(endpoint, this->timers, connector, this->observer, settings), relayed };
+}
+
 void GroupTraffic::update(const std::vector<RegisteredEndpoint>& endpoints, const Directory& directory)
 {
-    std::map<EndpointId, std::shared_ptr<EndpointPool>> kept;
+    std::map<EndpointId, Member> kept;
     bool rolesChanged = false;
     for (const RegisteredEndpoint& endpoint : endpoints) {
-        const auto known = this->pools.find(endpoint.id);
-        std::shared_ptr<EndpointPool> pool;
-        if (known != this->pools.end() && known->second->endpoint().address == endpoint.address
-            && known->second->endpoint().startedAt == endpoint.startedAt) {
-            pool = known->second;
-            rolesChanged = rolesChanged || pool->endpoint().role != endpoint.role;
-            pool->update(endpoint);
+        const bool relayed = directory.isRelayed(endpoint);
+        const auto known = this->members.find(endpoint.id);
+        Member member;
+        if (known != this->members.end() && known->second.relayed == relayed
+            && known->second.pool->endpoint().sameRun(endpoint)) {
+            member = known->second;
+            rolesChanged = rolesChanged || member.pool->endpoint().role != endpoint.role;
+            member.pool->update(endpoint);
         } else {
-            pool = std::make_shared<EndpointPool>(endpoint, this->timers, this->connector, this->observer);
+            member = this->makeMember(endpoint, relayed);
             rolesChanged = true;
         }
-        pool->setConnectionLimit(directory.connectionPart(endpoint));
-        kept.emplace(endpoint.id, std::move(pool));
+        member.pool->setConnectionLimit(relayed ? relayedLinks : directory.connectionPart(endpoint));
+        kept.emplace(endpoint.id, std::move(member));
     }
-    const auto previous = std::exchange(this->pools, std::move(kept));
-    for (const auto& [id, pool] : previous) {
-        const auto present = this->pools.find(id);
-        if (present == this->pools.end() || present->second != pool) {
-            pool->retire();
+    const auto previous = std::exchange(this->members, std::move(kept));
+    for (const auto& [id, member] : previous) {
+        if (this->find(id) != member.pool) {
+            member.pool->retire();
             rolesChanged = true;
         }
     }
@@ -64,7 +85,8 @@
 std::shared_ptr<EndpointPool> GroupTraffic::primary() const
 {
     std::shared_ptr<EndpointPool> found;
-    for (const auto& [id, pool] : this->pools) {
+    for (const auto& [id, member] : this->members) {
+        const auto& pool = member.pool;
         const bool refused = std::find(this->refusedAsPrimary.begin(), this->refusedAsPrimary.end(), id)
             != this->refusedAsPrimary.end();
         if (refused || pool->endpoint().role != EndpointRole::Primary)
@@ -88,8 +110,9 @@
 {
     const EndpointId home = this->homeOf(organisation);
     std::vector<ReadCandidate> candidates;
-    candidates.reserve(this->pools.size());
-    for (const auto& [id, pool] : this->pools) {
+    candidates.reserve(this->members.size());
+    for (const auto& [id, member] : this->members) {
+        const auto& pool = member.pool;
         ReadCandidate candidate;
         candidate.id = id;
         candidate.primary = pool->endpoint().role == EndpointRole::Primary;
@@ -127,7 +150,8 @@
         ++guests[home];
     EndpointId best;
     std::pair<size_t, bool> bestCost;
-    for (const auto& [id, pool] : this->pools) {
+    for (const auto& [id, member] : this->members) {
+        const auto& pool = member.pool;
         if (!usable(*pool))
             continue;
         const std::pair<size_t, bool> cost { guests[id], pool->endpoint().dataCentre != this->dataCentre };
@@ -150,8 +174,8 @@
 
 std::shared_ptr<EndpointPool> GroupTraffic::find(const EndpointId& endpoint) const
 {
-    const auto found = this->pools.find(endpoint);
-    return found == this->pools.end() ? nullptr : found->second;
+    const auto found = this->members.find(endpoint);
+    return found == this->members.end() ? nullptr : found->second.pool;
 }
 
 Reachability GroupTraffic::reachability(const EndpointId& endpoint, Instant now)
@@ -181,8 +205,8 @@
 
 void GroupTraffic::retireAll()
 {
-    for (const auto& [id, pool] : std::exchange(this->pools, {}))
-        pool->retire();
+    for (const auto& [id, member] : std::exchange(this->members, {}))
+        member.pool->retire();
     this->notifyChanged();
 }
 
--- a/src/Statements/GroupTraffic.h
+++ b/src/Statements/GroupTraffic.h
@@ -17,7 +17,9 @@
 /// One group as the traffic thread sees it: pools, freshness, and which endpoint is the primary.
 class GroupTraffic {
 public:
-    GroupTraffic(GroupId, DataCentre own, Timers&, EndpointConnector&, EndpointObserver&);
+    /// `relay` opens links over the owners of an endpoint's connections.
+    GroupTraffic(GroupId, DataCentre own, Timers&, EndpointConnector& direct, EndpointConnector& relay,
+        EndpointObserver&);
 
     /// Takes over the endpoints of the registry. Pools of endpoints that left or started again are retired.
     void update(const std::vector<RegisteredEndpoint>&, const Directory&);
@@ -57,14 +59,21 @@
     Reachability reachability(const EndpointId&, Instant now);
 
 private:
+    struct Member {
+        std::shared_ptr<EndpointPool> pool;
+        bool relayed = false; ///< its links go over owners
+    };
+
+    Member makeMember(const RegisteredEndpoint&, bool relayed);
     EndpointId homeOf(const OrganisationId&);
 
     GroupId name;
     DataCentre dataCentre;
     Timers& timers;
-    EndpointConnector& connector;
+    EndpointConnector& direct;
+    EndpointConnector& relay;
     EndpointObserver& observer;
-    std::map<EndpointId, std::shared_ptr<EndpointPool>> pools;
+    std::map<EndpointId, Member> members;
     std::map<EndpointId, Instant> laggingUntil;
     std::map<OrganisationId, EndpointId> homes; ///< replica that serves the organisation's reads here
     std::vector<EndpointId> refusedAsPrimary;
--- a/src/Statements/PooledConnection.cpp
+++ b/src/Statements/PooledConnection.cpp
@@ -41,7 +41,7 @@
     this->callback = std::move(done);
     this->preparations = countPreparations(statements);
     this->scheduleCheck(deadline);
-    this->link->send(statements);
+    this->link->send(statements, deadline);
 }
 
 // One timer serves both the suspicion of a silent endpoint and the deadline.
--- a/src/Statements/StatementAnswer.h
+++ b/src/Statements/StatementAnswer.h
@@ -61,6 +61,8 @@
     TransactionState state = TransactionState::Idle;
     std::optional<LogPosition> position; ///< end of the endpoint's log
     std::optional<EndpointStatus> status; ///< answer to StatementKind::Status
+
+    friend bool operator==(const EndpointAnswer&, const EndpointAnswer&) = default;
 };
 
 /// Answer to a caller. An empty result with Done means a statement that the proxy carried out itself.
--- a/src/Statements/StatementService.cpp
+++ b/src/Statements/StatementService.cpp
@@ -10,7 +10,7 @@
 namespace Lavendervane {
 
 StatementService::StatementService(StatementServiceSettings settings, Timers& timers, EndpointConnector& connector,
-    PeerTransport& transport, TrafficDemands& demands, TrafficLog& log)
+    PeerTransport& transport, RelayTransport& relayTransport, TrafficDemands& demands, TrafficLog& log)
     : options(std::move(settings))
     , clock(timers)
     , connector(connector)
@@ -20,6 +20,7 @@
     , admissions(this->limitShares, timers, transport, this->options.vm, this->options.dataCentre,
           this->options.admission, stableHash(this->options.vm.str()))
     , poll(timers, transport, this->options.vm, this->options.reachabilityPoll, stableHash(this->options.vm.str()))
+    , relay(this->options.vm, timers, connector, relayTransport, static_cast<EndpointObserver&>(*this), this->numbers)
 {
     transport.setListener(this);
 }
@@ -57,6 +58,7 @@
         limits.emplace(organisation.name, capacityOf(organisation.limit, this->options));
     this->limitShares.setLimits(limits, this->clock.now());
 
+    this->relay.setDirectory(this->current);
     std::map<GroupId, std::vector<RegisteredEndpoint>> members;
     this->groupOf.clear();
     for (const RegisteredEndpoint& endpoint : this->current->endpoints()) {
@@ -68,8 +70,8 @@
     for (const auto& [name, endpoints] : members) {
         auto& group = this->groups[name];
         if (!group)
-            group = std::make_unique<GroupTraffic>(
-                name, this->options.dataCentre, this->clock, this->connector, static_cast<EndpointObserver&>(*this));
+            group = std::make_unique<GroupTraffic>(name, this->options.dataCentre, this->clock, this->connector,
+                this->relay, static_cast<EndpointObserver&>(*this));
         group->update(endpoints, *this->current);
     }
     std::erase_if(this->groups, [&members](const auto& entry) {
@@ -121,6 +123,7 @@
 void StatementService::closeIdleSessions()
 {
     this->isClosing = true;
+    this->relay.beginStop();
     const auto all = this->sessions;
     for (CallerSession* session : all)
         session->closeWhenIdle();
@@ -138,6 +141,7 @@
     for (auto& [name, group] : this->groups)
         group->retireAll();
     this->groups.clear();
+    this->relay.shutDown();
 }
 
 void StatementService::sessionEnded(CallerSession& session) { this->sessions.erase(&session); }
@@ -166,6 +170,7 @@
 {
     this->admissions.setPeers(vms);
     this->poll.setPeers(vms);
+    this->relay.setMembers(vms);
 }
 
 // Questions of the proxy itself concern no organisation; any that is declared may be named in the opening.
--- a/src/Statements/StatementService.h
+++ b/src/Statements/StatementService.h
@@ -3,6 +3,7 @@
 #include "Fleet/Directory.h"
 #include "Limits/LimitShares.h"
 #include "Peers/PeerTransport.h"
+#include "Relay/Relay.h"
 #include "Runtime/Timers.h"
 #include "Statements/CallerLink.h"
 #include "Statements/GroupInspector.h"
@@ -60,8 +61,8 @@
 /// Sessions, groups and limits of one traffic thread. All calls must be made on that thread.
 class StatementService : public CallerHandlerFactory, public PeerListener, private EndpointObserver {
 public:
-    StatementService(
-        StatementServiceSettings, Timers&, EndpointConnector&, PeerTransport&, TrafficDemands&, TrafficLog&);
+    StatementService(StatementServiceSettings, Timers&, EndpointConnector&, PeerTransport&, RelayTransport&,
+        TrafficDemands&, TrafficLog&);
     ~StatementService() override;
 
     StatementService(const StatementService&) = delete;
@@ -100,9 +101,12 @@
     /// A new primary is expected; other VMs are told.
     void announcePromotion(const GroupId&, const EndpointId&, Duration expectedIn);
 
-    /// Closes sessions as soon as they have no transaction.
+    /// Closes sessions as soon as they have no transaction, and takes no more work of other VMs.
     void closeIdleSessions();
 
+    /// Work of other VMs that is under way here.
+    size_t relayedWork() const { return this->relay.busyLinks(); }
+
     /// Rolls open transactions back, so that their sessions can close.
     void abortTransactions();
 
@@ -134,6 +138,7 @@
     RequestAdmission admissions;
     ReachabilityPoll poll;
     PreparedNumbers numbers;
+    Relay relay;
     std::shared_ptr<const Directory> current;
     std::map<GroupId, std::unique_ptr<GroupTraffic>> groups;
     std::map<EndpointId, GroupId> groupOf;
--- /dev/null
+++ b/tests/Relay/OwnerPlacementTest.cpp
@@ -0,0 +1,106 @@
+#include "Relay/OwnerPlacement.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+#include <map>
+#include <set>
+
+using namespace Lavendervane;
+
+namespace {
+
+/// Four data centres of 24 VMs each; the first two of each have six times the processor share of the others.
+struct PlacementFixture {
+    PlacementFixture()
+    {
+        for (int vm = 0; vm < 96; ++vm) {
+            const std::string name = "vm-" + std::to_string(vm);
+            const std::string dataCentre = "dc-" + std::to_string(vm % 4);
+            this->members.push_back({ VmId(name), DataCentre(dataCentre), name + ":1", vm < 8 ? 500U : 84U });
+        }
+        this->placement.setMembers(this->members);
+    }
+
+    std::vector<FleetMember> candidates(const std::string& endpoint, const std::string& organisation) const
+    {
+        return this->placement.candidates(EndpointId(endpoint), DataCentre("dc-1"), OrganisationId(organisation));
+    }
+
+    std::vector<FleetMember> members;
+    OwnerPlacement placement;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(OwnerPlacementTest, PlacementFixture)
+
+// Owners far from their endpoint would add a second trip between data centres to each statement.
+BOOST_AUTO_TEST_CASE(Candidates_DataCentreHasVms_AreInIt)
+{
+    for (int organisation = 0; organisation < 20; ++organisation) {
+        const auto found = this->candidates("a", "o" + std::to_string(organisation));
+        BOOST_TEST(found.size() == 5U);
+        for (const FleetMember& member : found)
+            BOOST_TEST(member.dataCentre == DataCentre("dc-1"));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(Candidates_DataCentreHasNoVms_AreElsewhere)
+{
+    const auto found
+        = this->placement.candidates(EndpointId("a"), DataCentre("dc-9"), OrganisationId("o"));
+    BOOST_TEST(found.size() == 5U);
+}
+
+// All organisations must meet the same owners, or an endpoint would get more connections than it accepts.
+BOOST_AUTO_TEST_CASE(Candidates_AllOrganisations_ShareThreeOwners)
+{
+    std::map<VmId, int> first;
+    for (int organisation = 0; organisation < 72; ++organisation)
+        ++first[this->candidates("a", "o" + std::to_string(organisation)).front().vm];
+    BOOST_TEST(first.size() == 3U);
+    for (const auto& [vm, count] : first)
+        BOOST_TEST(count >= 72 / 6);
+    BOOST_TEST(3 * this->placement.connectionsPerOwner(52) <= 52U);
+}
+
+// Work must follow the processor share: the two large VMs have 1,000 of the 2,848 thousandths of the data centre.
+BOOST_AUTO_TEST_CASE(Candidates_UnequalVms_FollowProcessorShare)
+{
+    int large = 0;
+    int all = 0;
+    for (int endpoint = 0; endpoint < 1000; ++endpoint) {
+        for (const FleetMember& member : this->candidates("e" + std::to_string(endpoint), "o")) {
+            large += member.processorMillis == 500;
+            ++all;
+        }
+    }
+    BOOST_TEST(large > all / 5);
+    BOOST_TEST(large < all / 2);
+}
+
+// VMs learn of members in any order and must come to the same result.
+BOOST_AUTO_TEST_CASE(Candidates_OtherOrderOfMembers_AreTheSame)
+{
+    const auto before = this->candidates("a", "o");
+    std::reverse(this->members.begin(), this->members.end());
+    this->placement.setMembers(this->members);
+    BOOST_TEST((this->candidates("a", "o") == before));
+}
+
+// The loss of a VM that owns nothing here must move nothing, or connections would be opened anew everywhere.
+BOOST_AUTO_TEST_CASE(Candidates_OtherVmLeaves_OwnersStay)
+{
+    const auto before = this->candidates("a", "o");
+    std::set<VmId> chosen;
+    for (const FleetMember& member : before)
+        chosen.insert(member.vm);
+    std::erase_if(this->members, [&chosen](const FleetMember& member) {
+        return member.dataCentre == DataCentre("dc-1") && !chosen.count(member.vm);
+    });
+    this->placement.setMembers(this->members);
+    BOOST_TEST((this->candidates("a", "o") == before));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/Relay/RelayMessagesTest.cpp
@@ -0,0 +1,54 @@
+#include "Relay/RelayMessages.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace Lavendervane;
+
+BOOST_AUTO_TEST_SUITE(RelayMessagesTest)
+
+static std::vector<RelayMessage> oneOfEachKind()
+{
+    Statement statement;
+    statement.kind = StatementKind::Execute;
+    statement.id = "5c0e7a21d94b36f8";
+    statement.text = "1a4 bytes \xff\r that are no text";
+    statement.name = "p1";
+    statement.effect = PreparedEffect::Write;
+    statement.term = 4;
+    statement.requiredPosition = LogPosition { { 3, {} }, 1207 };
+    EndpointAnswer answer;
+    answer.code = AnswerCode::Lagging;
+    answer.result = "row\xfe";
+    answer.message = "behind";
+    answer.state = TransactionState::Open;
+    answer.position = LogPosition { { 3, VmId("vm") }, 1209 };
+    answer.status = EndpointStatus { EndpointRole::Replica, 3, { { 3, {} }, 1208 } };
+    return { RelayOpen { 7, GroupId("stock"), EndpointId("a"), OrganisationId("desk") }, RelayOpened { 7 },
+        RelayBatch { 7, 800, { statement, ownStatement(StatementKind::Rollback) } },
+        RelayAnswers { 7, { answer, EndpointAnswer {} } },
+        RelayFailed { 7, LinkFailure::Rejected, AnswerCode::WrongEndpoint, "left" }, RelayClose { 7 } };
+}
+
+// A statement or an answer that another VM passes on must arrive byte by byte as it was.
+BOOST_AUTO_TEST_CASE(Encode_EachKind_DecodesToSame)
+{
+    for (const RelayMessage& message : oneOfEachKind()) {
+        const auto decoded = decodeRelayMessage(encodeRelayMessage(message));
+        BOOST_REQUIRE(decoded);
+        BOOST_TEST((*decoded == message));
+    }
+}
+
+// A peer of another version or a stray connection must not end the process or pass for a message.
+BOOST_AUTO_TEST_CASE(Decode_CutOrGarbage_ReturnsNothing)
+{
+    for (const RelayMessage& message : oneOfEachKind()) {
+        const std::string whole = encodeRelayMessage(message);
+        for (size_t length = 0; length < whole.size(); ++length)
+            BOOST_TEST(!decodeRelayMessage(whole.substr(0, length)));
+    }
+    for (const char* text : { "GET / HTTP/1.1", "\x82\x18\x63\x01", "\x85\x05\x07\x09\x01\x60", "\x82\x01\x01" })
+        BOOST_TEST(!decodeRelayMessage(text));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/Relay/TcpRelayTest.cpp
@@ -0,0 +1,118 @@
+#include "Relay/TcpRelay.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <functional>
+#include <vector>
+
+using namespace Lavendervane;
+using namespace std::chrono_literals;
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+namespace {
+
+struct Recorder : RelayTransportListener {
+    void relayReceived(RelayChannel channel, RelayMessage message) override
+    {
+        this->channel = channel;
+        this->messages.push_back(std::move(message));
+    }
+    void relayClosed(RelayChannel) override { ++this->closed; }
+
+    RelayChannel channel = 0;
+    std::vector<RelayMessage> messages;
+    int closed = 0;
+};
+
+std::string freeAddress(asio::io_context& context)
+{
+    const tcp::acceptor probe(context, { asio::ip::make_address("127.0.0.1"), 0 });
+    return "127.0.0.1:" + std::to_string(probe.local_endpoint().port());
+}
+
+struct TcpRelayFixture {
+    TcpRelayFixture()
+    {
+        this->left.setListener(&this->leftSeen);
+        this->right.setListener(&this->rightSeen);
+    }
+
+    /// Runs until the condition holds; false after five seconds.
+    bool runUntil(const std::function<bool()>& condition)
+    {
+        const auto end = std::chrono::steady_clock::now() + 5s;
+        while (!condition() && std::chrono::steady_clock::now() < end)
+            this->context.run_one_for(50ms);
+        return condition();
+    }
+
+    asio::io_context context;
+    std::string leftAddress { freeAddress(context) };
+    TcpRelay left { context, leftAddress };
+    std::string rightAddress { freeAddress(context) };
+    TcpRelay right { context, rightAddress };
+    Recorder leftSeen;
+    Recorder rightSeen;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(TcpRelayTest, TcpRelayFixture)
+
+BOOST_AUTO_TEST_CASE(Send_BeforeConnected_ArrivesInOrderBothWays)
+{
+    const RelayChannel channel = this->left.open(this->rightAddress);
+    Statement write = ownStatement(StatementKind::Write);
+    write.text = std::string(100'000, 'x');
+    const RelayBatch large { 2, 800, { write } };
+    this->left.send(channel, RelayOpened { 1 });
+    this->left.send(channel, large);
+    BOOST_REQUIRE(this->runUntil([this] { return this->rightSeen.messages.size() == 2; }));
+    BOOST_TEST((this->rightSeen.messages[0] == RelayMessage(RelayOpened { 1 })));
+    BOOST_TEST((this->rightSeen.messages[1] == RelayMessage(large)));
+    this->right.send(this->rightSeen.channel, RelayClose { 3 });
+    BOOST_REQUIRE(this->runUntil([this] { return this->leftSeen.messages.size() == 1; }));
+    BOOST_TEST(this->leftSeen.channel == channel);
+}
+
+BOOST_AUTO_TEST_CASE(Open_NobodyListens_IsClosed)
+{
+    this->left.open(freeAddress(this->context));
+    BOOST_TEST(this->runUntil([this] { return this->leftSeen.closed == 1; }));
+}
+
+BOOST_AUTO_TEST_CASE(Close_OtherEnd_IsTold)
+{
+    const RelayChannel channel = this->left.open(this->rightAddress);
+    this->left.send(channel, RelayOpened { 1 });
+    BOOST_REQUIRE(this->runUntil([this] { return !this->rightSeen.messages.empty(); }));
+    this->left.close(channel);
+    BOOST_TEST(this->runUntil([this] { return this->rightSeen.closed == 1; }));
+    BOOST_TEST(this->leftSeen.closed == 0);
+}
+
+// Stray connections must not end the process, take memory without bound or pass for messages; parts may arrive byte by
+// byte.
+BOOST_AUTO_TEST_CASE(Receive_MalformedBytes_EndsThatConnection)
+{
+    const std::string good = encodeRelayMessage(RelayOpened { 9 });
+    const std::vector<std::string> malformed { "GET / HTTP/1.1\r\n\r\n", std::string("\0\0\0\3abc", 7),
+        std::string("\xff\xff\xff\xff", 4) };
+    int closed = 0;
+    for (const std::string& bytes : malformed) {
+        tcp::socket stray(this->context);
+        stray.connect({ asio::ip::make_address("127.0.0.1"),
+            static_cast<uint16_t>(std::stoi(this->rightAddress.substr(this->rightAddress.find(':') + 1))) });
+        const std::string framed = std::string("\0\0\0", 3) + static_cast<char>(good.size()) + good + bytes;
+        for (const char byte : framed)
+            asio::write(stray, asio::buffer(&byte, 1));
+        ++closed;
+        BOOST_TEST(this->runUntil([this, closed] { return this->rightSeen.closed == closed; }));
+        BOOST_TEST(this->rightSeen.messages.size() == static_cast<size_t>(closed));
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/Statements/FakeDatabases.cpp
+++ b/tests/Statements/FakeDatabases.cpp
@@ -38,7 +38,7 @@
         });
     }
 
-    void send(const std::vector<Statement>& statements) override
+    void send(const std::vector<Statement>& statements, Instant) override
     {
         std::vector<EndpointAnswer> answers;
         for (const Statement& statement : statements) {
--- a/tests/Statements/ServiceFixture.cpp
+++ b/tests/Statements/ServiceFixture.cpp
@@ -44,7 +44,7 @@
         makeEndpoint("c", EndpointRole::Replica) };
     this->connector.database("a").role = EndpointRole::Primary;
     this->service = std::make_unique<StatementService>(
-        this->settings, this->timers, this->connector, this->transport, this->demands, this->log);
+        this->settings, this->timers, this->connector, this->transport, this->relayTransport, this->demands, this->log);
     this->publish();
     this->service->shares().setShare(wholeShare, this->timers.now() + std::chrono::hours(1), this->timers.now());
     this->timers.advance(std::chrono::seconds(2));
--- a/tests/Statements/ServiceFixture.h
+++ b/tests/Statements/ServiceFixture.h
@@ -66,6 +66,15 @@
     std::vector<std::pair<std::string, PeerMessage>> sent;
 };
 
+/// Relays are not used: the fixture's VM is alone.
+class FakeRelayTransport : public RelayTransport {
+public:
+    RelayChannel open(const std::string&) override { return 1; }
+    void send(RelayChannel, const RelayMessage&) override { }
+    void close(RelayChannel) override { }
+    void setListener(RelayTransportListener*) override { }
+};
+
 class FakeDemands : public TrafficDemands {
 public:
     void endpointReachable(const GroupId&, const EndpointId& endpoint, bool reachable) override
@@ -110,6 +119,7 @@
     ManualTimers timers;
     FakeConnector connector { timers };
     FakeTransport transport;
+    FakeRelayTransport relayTransport;
     FakeDemands demands;
     FakeTrafficLog log;
     StatementServiceSettings settings;
