Give no work to a leaving endpoint after a few seconds, also without a successor

Cause: a leaving primary was used until another was promoted. With the platform away that may be never, and work would reach it after its drain time. Test: CallerSessionTest/Write_PrimaryLeavesForLong_IsRefusedAtOnce, failed before.

--- a/src/Fleet/EntryDaemon.cpp
+++ b/src/Fleet/EntryDaemon.cpp
@@ -27,6 +27,10 @@
 // Interval at which a stopping VM looks whether all sessions have ended.
 static constexpr auto stopInterval = std::chrono::milliseconds(50);
 
+// The news of a leaving endpoint takes up to a second to arrive, and a statement waits up to its time limit, mostly below
+// one second, before it is sent.
+static constexpr auto drainMargin = std::chrono::milliseconds(2000);
+
 // Bound on giving shares back when the VM stops.
 static constexpr auto returnLimit = std::chrono::milliseconds(300);
 
@@ -227,6 +231,7 @@
         service.limitWindow = settings.limitWindow;
         service.limitTolerance = settings.limitTolerance;
         service.limitSlack = settings.limitSlack;
+        service.drainLimit = std::max(settings.endpointDrainTime - drainMargin, settings.endpointDrainTime / 2);
         return service;
     }
 
--- a/src/Fleet/EntryDaemon.h
+++ b/src/Fleet/EntryDaemon.h
@@ -42,6 +42,8 @@
     std::chrono::milliseconds limitWindow { 5000 }; ///< window in which requests of organisations are counted
     double limitTolerance = 0; ///< part by which a window may exceed its limit
     uint32_t limitSlack = 0; ///< requests by which a window may exceed its limit besides
+    /// Time after the news that an endpoint leaves in which it may still get work.
+    std::chrono::milliseconds endpointDrainTime { 7000 };
     VmId vm;
     DataCentre dataCentre;
     uint32_t processorMillis = 1000; ///< part of one core, in 1/1000
--- a/src/Statements/GroupTraffic.cpp
+++ b/src/Statements/GroupTraffic.cpp
@@ -26,10 +26,10 @@
 // Expected time of a round trip to an owner within a region.
 static constexpr Duration relayedOpenTime = std::chrono::milliseconds(3);
 
-GroupTraffic::GroupTraffic(GroupId name, DataCentre own, Timers& timers, EndpointConnector& direct,
+GroupTraffic::GroupTraffic(GroupId name, GroupTrafficSettings settings, Timers& timers, EndpointConnector& direct,
     EndpointConnector& relay, EndpointObserver& observer)
     : name(std::move(name))
-    , dataCentre(std::move(own))
+    , settings(std::move(settings))
     , timers(timers)
     , direct(direct)
     , relay(relay)
@@ -39,14 +39,22 @@
 
 GroupTraffic::Member GroupTraffic::makeMember(const RegisteredEndpoint& endpoint, bool relayed)
 {
-    EndpointPoolSettings settings;
+    EndpointPoolSettings poolSettings;
     if (relayed) {
-        settings.connectTimeout = relayedOpenTimeout;
-        settings.concurrentOpens = relayedLinks;
-        settings.assumedOpenTime = relayedOpenTime;
+        poolSettings.connectTimeout = relayedOpenTimeout;
+        poolSettings.concurrentOpens = relayedLinks;
+        poolSettings.assumedOpenTime = relayedOpenTime;
     }
     EndpointConnector& connector = relayed ? this->relay : this->direct;
-    return { std::make_shared<EndpointPool>(endpoint, this->timers, connector, this->observer, settings), relayed };
+    Member made;
+    made.pool = std::make_shared<EndpointPool>(endpoint, this->timers, connector, this->observer, poolSettings);
+    made.relayed = relayed;
+    return made;
+}
+
+bool GroupTraffic::takesWork(const Member& member) const
+{
+    return !member.leavingSince || this->timers.now() < *member.leavingSince + this->settings.drainLimit;
 }
 
 void GroupTraffic::update(const std::vector<RegisteredEndpoint>& endpoints, const Directory& directory)
@@ -66,6 +74,10 @@
             member = this->makeMember(endpoint, relayed);
             rolesChanged = true;
         }
+        if (!endpoint.draining)
+            member.leavingSince.reset();
+        else if (!member.leavingSince)
+            member.leavingSince = this->timers.now();
         member.pool->setConnectionLimit(relayed ? relayedLinks : directory.connectionPart(endpoint));
         kept.emplace(endpoint.id, std::move(member));
     }
@@ -89,7 +101,7 @@
         const auto& pool = member.pool;
         const bool refused = std::find(this->refusedAsPrimary.begin(), this->refusedAsPrimary.end(), id)
             != this->refusedAsPrimary.end();
-        if (refused || pool->endpoint().role != EndpointRole::Primary)
+        if (refused || !this->takesWork(member) || pool->endpoint().role != EndpointRole::Primary)
             continue;
         // Of two endpoints that call themselves primary, the one with the newer term is.
         if (!found || (pool->position() && (!found->position() || *found->position() < *pool->position())))
@@ -113,13 +125,15 @@
     candidates.reserve(this->members.size());
     for (const auto& [id, member] : this->members) {
         const auto& pool = member.pool;
+        if (!this->takesWork(member))
+            continue;
         ReadCandidate candidate;
         candidate.id = id;
         candidate.primary = pool->endpoint().role == EndpointRole::Primary;
         candidate.reachable = pool->reachable();
         candidate.draining = pool->endpoint().draining;
         candidate.expectedTime = pool->expectedTime(organisation);
-        if (pool->endpoint().dataCentre != this->dataCentre)
+        if (pool->endpoint().dataCentre != this->settings.dataCentre)
             candidate.expectedTime += otherDataCentreCost;
         if (id != home)
             candidate.expectedTime += otherHomeCost;
@@ -154,7 +168,7 @@
         const auto& pool = member.pool;
         if (!usable(*pool))
             continue;
-        const std::pair<size_t, bool> cost { guests[id], pool->endpoint().dataCentre != this->dataCentre };
+        const std::pair<size_t, bool> cost { guests[id], pool->endpoint().dataCentre != this->settings.dataCentre };
         if (best.empty() || cost < bestCost) {
             best = id;
             bestCost = cost;
--- a/src/Statements/GroupTraffic.h
+++ b/src/Statements/GroupTraffic.h
@@ -14,11 +14,17 @@
 
 namespace Lavendervane {
 
+struct GroupTrafficSettings {
+    DataCentre dataCentre; ///< of this VM
+    /// Time from the news that an endpoint leaves until it gets no more work.
+    Duration drainLimit {};
+};
+
 /// One group as the traffic thread sees it: pools, freshness, and which endpoint is the primary.
 class GroupTraffic {
 public:
     /// `relay` opens links over the owners of an endpoint's connections.
-    GroupTraffic(GroupId, DataCentre own, Timers&, EndpointConnector& direct, EndpointConnector& relay,
+    GroupTraffic(GroupId, GroupTrafficSettings, Timers&, EndpointConnector& direct, EndpointConnector& relay,
         EndpointObserver&);
 
     /// Takes over the endpoints of the registry. Pools of endpoints that left or started again are retired.
@@ -62,13 +68,15 @@
     struct Member {
         std::shared_ptr<EndpointPool> pool;
         bool relayed = false; ///< its links go over owners
+        std::optional<Instant> leavingSince;
     };
 
     Member makeMember(const RegisteredEndpoint&, bool relayed);
+    bool takesWork(const Member&) const;
     EndpointId homeOf(const OrganisationId&);
 
     GroupId name;
-    DataCentre dataCentre;
+    GroupTrafficSettings settings;
     Timers& timers;
     EndpointConnector& direct;
     EndpointConnector& relay;
--- a/src/Statements/StatementService.h
+++ b/src/Statements/StatementService.h
@@ -41,6 +41,8 @@
     Duration inspectionTimeout = std::chrono::milliseconds(250);
     /// How long an operation waits for news of the primary after an endpoint has denied being it.
     Duration roleChangeWait = std::chrono::milliseconds(150);
+    /// Time from the news that an endpoint leaves until it gets no more work. A promotion takes under 3 s.
+    Duration drainLimit = std::chrono::seconds(5);
 };
 
 /// Asks control for things that traffic needs. Calls come on the traffic thread.
--- a/tests/Adapter/SettingsAndRowsTest.cpp
+++ b/tests/Adapter/SettingsAndRowsTest.cpp
@@ -15,7 +15,8 @@
 static const std::string settingsText = "node_name=front-a-1\nip=10.1.0.26\nzone=a\n"
                                         "listen_addrs.front=10.1.0.26:8465\nlisten_addrs.ready=10.1.0.26:8460\n"
                                         "internal_ports=7560,7575\nplatform.address=10.200.1.7:8466\n"
-                                        "cloud.address=10.200.0.2:8466\nbounds.grace_s=6\nbounds.quota_window_s=5\n"
+                                        "cloud.address=10.200.0.2:8466\nbounds.grace_s=6\n"
+                                        "bounds.drain_ms=7000\nbounds.quota_window_s=5\n"
                                         "bounds.quota_overage=0.1\nbounds.quota_slack=20\nlimits.cpu_share=0.17\n"
                                         "heartbeat_ms=1200\nsome.new_field=ignored\n";
 
@@ -40,6 +41,7 @@
     };
     for (const Row& row : std::vector<Row> { { "node_name=front-a-1\n", "", "node_name" },
              { "bounds.grace_s=6", "bounds.grace_s=soon", "bounds.grace_s" },
+             { "bounds.drain_ms=7000", "bounds.drain_ms=", "bounds.drain_ms" },
              { "internal_ports=7560,7575", "internal_ports=7560", "internal_ports" },
              { "bounds.quota_slack=20", "bounds.quota_slack=-1", "bounds.quota_slack" },
              { "zone=a", "zone", "zone" } }) {
--- a/tests/Statements/CallerSessionTest.cpp
+++ b/tests/Statements/CallerSessionTest.cpp
@@ -121,6 +121,25 @@
     BOOST_TEST(this->connector.database("a").connections == 0U);
 }
 
+// A leaving endpoint gets no new work after a few seconds, also when no other has been promoted, for example because
+// the platform is away.
+BOOST_AUTO_TEST_CASE(Write_PrimaryLeavesForLong_IsRefusedAtOnce)
+{
+    auto caller = this->open("own");
+    this->endpoints.front().draining = true;
+    this->publish();
+    caller->send(StatementKind::Write, "WRITE x 1");
+    this->settle();
+    BOOST_TEST((caller->last().code == AnswerCode::Done));
+    this->timers.advance(this->settings.drainLimit);
+    this->connector.database("a").seen.clear();
+    caller->send(StatementKind::Write, "WRITE y 1");
+    this->timers.advance(200ms);
+    BOOST_REQUIRE(caller->answers.size() == 2U);
+    BOOST_TEST((caller->last().code == AnswerCode::Busy));
+    BOOST_TEST(this->connector.database("a").seen.empty());
+}
+
 // A read may be repeated; the caller must not have to do it.
 BOOST_AUTO_TEST_CASE(Read_AnswerLost_IsRepeatedElsewhere)
 {
