Promote only a replica that is certain to hold every acknowledged commit

Cause: with synchronous replicas an acknowledged commit is on some replica, but an order went to the furthest of those that answered; one that did not answer, or was leaving and not asked, may have been the only one to hold it. Change: so many replicas must answer that one of them has seen each acknowledged commit; leaving ones are asked too.

--- a/src/Fleet/FleetControl.cpp
+++ b/src/Fleet/FleetControl.cpp
@@ -128,7 +128,10 @@
     std::vector<RegisteredEndpoint> endpoints;
     for (const auto& [id, endpoint] : this->registry)
         endpoints.push_back(endpoint);
-    this->promotionEvent(RegistrySeen { endpoints });
+    RegistrySeen seen { endpoints, {} };
+    for (const GroupDeclaration& group : this->configuration->groups)
+        seen.synchronousReplicas[group.name] = group.synchronousReplicas;
+    this->promotionEvent(seen);
     // Traffic sees at most one primary in a group.
     for (RegisteredEndpoint& endpoint : endpoints) {
         if (endpoint.role == EndpointRole::Primary && this->promotions.primaryOf(endpoint.group) != endpoint.id)
--- a/src/Promotion/PromotionKeeper.cpp
+++ b/src/Promotion/PromotionKeeper.cpp
@@ -104,6 +104,8 @@
     for (auto& [name, members] : present) {
         Group& group = this->groups[name];
         group.name = name;
+        const auto synchronous = seen.synchronousReplicas.find(name);
+        group.synchronousReplicas = synchronous == seen.synchronousReplicas.end() ? 0 : synchronous->second;
         if (group.members == members)
             continue;
         const EndpointId primary = newestPrimary(group.members, members, group.primary);
@@ -254,7 +256,8 @@
 {
     std::vector<EndpointId> endpoints;
     for (const auto& [id, member] : group.members) {
-        const bool leaving = member.draining && id != group.replaced;
+        // A leaving replica may be the only one that holds an acknowledged commit.
+        const bool leaving = member.draining && id != group.replaced && !group.synchronousReplicas;
         const bool gone = id == group.replaced && !(group.planned && group.phase == Phase::Inspecting);
         if (!leaving && !gone)
             endpoints.push_back(id);
@@ -262,6 +265,14 @@
     return { InspectEndpoints { group.name, group.attempt, std::move(endpoints) } };
 }
 
+// With synchronous replicas, an acknowledged commit is on that many of them. The furthest one holds it for certain only
+// if fewer than that many were not heard.
+bool PromotionKeeper::mayLackAcknowledged(const Group& group, size_t replicasHeard) const
+{
+    const size_t replicas = group.members.size() - group.members.count(group.replaced);
+    return group.synchronousReplicas && replicasHeard + group.synchronousReplicas <= replicas;
+}
+
 // The replica whose log goes furthest; a promotion rolls back whatever the chosen one lacks.
 static std::optional<EndpointId> furthest(const std::map<EndpointId, EndpointStatus>& statuses)
 {
@@ -298,6 +309,8 @@
     if (group.phase == Phase::CatchingUp && group.lastPosition && replicas.at(*best).received < *group.lastPosition
         && now < group.catchUpUntil)
         return this->wakeAt(group, now + this->settings.catchUpInterval);
+    if (this->mayLackAcknowledged(group, replicas.size()))
+        return this->retry(group, now, "a replica that may hold acknowledged commits does not answer");
     return this->order(group, *best, now);
 }
 
--- a/src/Promotion/PromotionKeeper.h
+++ b/src/Promotion/PromotionKeeper.h
@@ -75,6 +75,7 @@
         GroupId name;
         std::map<EndpointId, Member> members;
         EndpointId primary; ///< empty if the registry names none
+        uint32_t synchronousReplicas = 0;
         bool unreachable = false; ///< the primary, from this VM
         Phase phase = Phase::Idle;
         uint64_t attempt = 0; ///< makes answers to earlier attempts recognisable
@@ -103,6 +104,7 @@
     Effects consider(Group&, Instant now);
     Effects startTurn(Group&, Instant now);
     Effects inspect(Group&);
+    bool mayLackAcknowledged(const Group&, size_t replicasHeard) const;
     Effects order(Group&, const EndpointId&, Instant now);
     Effects retry(Group&, Instant now, const std::string& reason);
     Effects wakeAt(const Group&, Instant when) const;
--- a/src/Promotion/PromotionMessages.h
+++ b/src/Promotion/PromotionMessages.h
@@ -21,6 +21,8 @@
 /// Content of the registry.
 struct RegistrySeen {
     std::vector<RegisteredEndpoint> endpoints;
+    /// Replicas that hold a commit before it is acknowledged; groups that are missing have none.
+    std::map<GroupId, uint32_t> synchronousReplicas;
 };
 
 /// VMs that share the work, this one included.
--- a/tests/Promotion/PromotionKeeperTest.cpp
+++ b/tests/Promotion/PromotionKeeperTest.cpp
@@ -42,7 +42,8 @@
     void registry(EndpointRole roleOfA, EndpointRole roleOfB, bool drainingA = false)
     {
         this->handle(RegistrySeen {
-            { endpoint(a, roleOfA, drainingA), endpoint(b, roleOfB), endpoint(c, EndpointRole::Replica) } });
+            { endpoint(a, roleOfA, drainingA), endpoint(b, roleOfB), endpoint(c, EndpointRole::Replica) },
+            { { stock, this->synchronousReplicas } } });
     }
 
     void fireTimer()
@@ -87,6 +88,7 @@
         return attempt;
     }
 
+    uint32_t synchronousReplicas = 0;
     PromotionKeeper keeper { VmId("vm-1"), "run-1", {} };
     Instant now { 100s };
     std::vector<PromotionEffect> effects;
@@ -109,6 +111,27 @@
     BOOST_TEST(order->token == 41U);
 }
 
+// With one synchronous replica, the only holder of an acknowledged commit may be the one that does not answer.
+BOOST_AUTO_TEST_CASE(Primary_ReplicaMayHoldMore_IsNotReplacedWithoutIt)
+{
+    this->synchronousReplicas = 1;
+    this->registry(EndpointRole::Primary, EndpointRole::Replica);
+    const uint64_t attempt = this->reachInspection();
+    this->handle(EndpointsInspected { stock, attempt, { { b, status(50) } } });
+    BOOST_TEST(!this->find<OrderPromotion>());
+    BOOST_TEST(this->find<SetPromotionTimer>());
+}
+
+BOOST_AUTO_TEST_CASE(Primary_AllSynchronousReplicasAnswer_PromotesFurthest)
+{
+    this->synchronousReplicas = 1;
+    this->registry(EndpointRole::Primary, EndpointRole::Replica);
+    const uint64_t attempt = this->reachInspection();
+    this->handle(EndpointsInspected { stock, attempt, { { b, status(53) }, { c, status(52) } } });
+    BOOST_REQUIRE(this->find<OrderPromotion>());
+    BOOST_TEST(this->find<OrderPromotion>()->endpoint == b);
+}
+
 // One VM's cut link is no dead primary; promoting would throw acknowledged writes away.
 BOOST_AUTO_TEST_CASE(Primary_UnreachableForFewVms_IsKept)
 {
@@ -224,7 +247,7 @@
 {
     this->registry(EndpointRole::Primary, EndpointRole::Primary);
     BOOST_TEST((this->keeper.primaryOf(stock) == b));
-    this->handle(RegistrySeen { { endpoint(a, EndpointRole::Primary), endpoint(b, EndpointRole::Primary) } });
+    this->handle(RegistrySeen { { endpoint(a, EndpointRole::Primary), endpoint(b, EndpointRole::Primary) }, {} });
     BOOST_TEST((this->keeper.primaryOf(stock) == b));
 }
 
