--- a/src/Daemon/Daemon.cpp
+++ b/src/Daemon/Daemon.cpp
@@ -2,8 +2,8 @@
 
 #include "Daemon/ControlLoop.h"
 #include "Daemon/DaemonSettings.h"
-#include "Daemon/MetricsServer.h"
 #include "Limits/AdmissionTable.h"
+#include "Metrics/MetricsServer.h"
 #include "Operator/OperatorService.h"
 #include "Peer/GrpcServer.h"
 #include "Peer/PeerService.h"
--- a/src/Fleet/EntryDaemon.cpp
+++ b/src/Fleet/EntryDaemon.cpp
@@ -2,6 +2,8 @@
 
 #include "Fleet/FleetControl.h"
 #include "Http/HttpServer.h"
+#include "Metrics/MetricsServer.h"
+#include "Metrics/SessionMetrics.h"
 #include "Peers/DatagramPeers.h"
 #include "Relay/TcpRelay.h"
 #include "Runtime/AsioTimers.h"
@@ -13,6 +15,7 @@
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/signal_set.hpp>
+#include <prometheus/registry.h>
 
 #include <csignal>
 #include <optional>
@@ -27,8 +30,8 @@
 // Interval at which a stopping VM looks whether all sessions have ended.
 static constexpr auto stopInterval = std::chrono::milliseconds(50);
 
-// The news of a leaving endpoint takes up to a second to arrive, and a statement waits up to its time limit, mostly below
-// one second, before it is sent.
+// The news of a leaving endpoint takes up to a second to arrive, and a statement waits up to its time limit, mostly
+// below one second, before it is sent.
 static constexpr auto drainMargin = std::chrono::milliseconds(2000);
 
 // Bound on giving shares back when the VM stops.
@@ -68,13 +71,15 @@
 
 class RequestLog : public TrafficLog {
 public:
-    explicit RequestLog(StructuredLog& log)
+    RequestLog(StructuredLog& log, SessionMetrics& metrics)
         : log(log)
+        , metrics(metrics)
     {
     }
 
     void statementFailed(const FailedStatement& failed) override
     {
+        this->metrics.statementFailed(toString(failed.code), failed.took);
         this->log.write("statement_failed",
             { { "request", failed.id }, { "organisation", failed.organisation.str() }, { "database", failed.database },
                 { "code", std::string(toString(failed.code)) }, { "reason", failed.reason },
@@ -85,15 +90,19 @@
                 { "configuration", std::to_string(failed.configurationVersion) } });
     }
 
-    void statementDone(bool, Duration) override { }
+    void statementDone(bool atReplica, Duration took) override { this->metrics.statementDone(atReplica, took); }
 
     void endpointChanged(const EndpointId& endpoint, std::string_view change) override
     {
+        this->metrics.endpointChanged(change);
         this->log.write("endpoint_" + std::string(change), { { "endpoint", endpoint.str() } });
     }
 
+    void sessionsChanged(size_t count) override { this->metrics.setSessions(count); }
+
 private:
     StructuredLog& log;
+    SessionMetrics& metrics;
 };
 
 } // namespace
@@ -103,7 +112,8 @@
     Implementation(EntrySettings settings, EntryParts& parts)
         : settings(std::move(settings))
         , log(this->settings.vm.str())
-        , requestLog(this->log)
+        , metrics(this->metricsRegistry)
+        , requestLog(this->log, this->metrics)
         , controlTimers(this->controlContext)
         , trafficTimers(this->trafficContext)
         , table(parts.makeTable(this->controlContext))
@@ -114,16 +124,19 @@
         , relay(this->trafficContext, this->settings.peerAddress)
         , service(serviceSettings(this->settings), this->trafficTimers, *this->connector, this->peers, this->relay,
               *this, this->requestLog)
-        , control(controlSettings(this->settings), this->controlTimers, *this->table, *this->orders, *this, this->log)
+        , control(controlSettings(this->settings), this->controlTimers, *this->table, *this->orders, *this, this->log,
+              this->metrics)
         , listener(parts.makeCallerListener(this->trafficContext, this->service))
         , signals(this->controlContext, SIGTERM, SIGINT, SIGHUP)
     {
         HttpServerSettings readiness;
         readiness.address = this->settings.readinessAddress;
         this->readinessServer.emplace(this->controlContext, readiness, [this] {
-            return std::make_shared<ReadinessHandler>(this->settings.readinessPath,
-                [this] { return !this->stopping && !this->isolated && this->control.ready(); });
+            return std::make_shared<ReadinessHandler>(this->settings.readinessPath, [this] { return this->ready(); });
         });
+        if (!this->settings.metricsAddress.empty())
+            this->metricsServer.emplace(this->controlContext, this->settings.metricsAddress, this->metricsRegistry,
+                [this] { return this->ready(); });
     }
 
     int run()
@@ -223,6 +236,8 @@
     }
 
 private:
+    bool ready() const { return !this->stopping && !this->isolated && this->control.ready(); }
+
     static StatementServiceSettings serviceSettings(const EntrySettings& settings)
     {
         StatementServiceSettings service;
@@ -312,6 +327,8 @@
     asio::io_context controlContext { 1 };
     asio::io_context trafficContext { 1 };
     StructuredLog log;
+    prometheus::Registry metricsRegistry;
+    SessionMetrics metrics;
     RequestLog requestLog;
     AsioTimers controlTimers;
     AsioTimers trafficTimers;
@@ -326,6 +343,7 @@
     std::unique_ptr<CallerListener> listener;
     asio::signal_set signals;
     std::optional<HttpServer> readinessServer;
+    std::optional<MetricsServer> metricsServer;
     bool stopping = false;
     bool isolated = false;
     bool ending = false;
--- a/src/Fleet/EntryDaemon.h
+++ b/src/Fleet/EntryDaemon.h
@@ -51,6 +51,7 @@
     std::string peerAddress; ///< "IP:port" for messages between VMs
     std::string readinessAddress; ///< "IP:port"
     std::string readinessPath;
+    std::string metricsAddress; ///< "IP:port"; empty for no metrics
     std::chrono::milliseconds stopLimit { 6000 }; ///< from the request to stop until the process is killed
     /// Time until the balancer has noticed that this VM is not ready: two questions, one a second.
     std::chrono::milliseconds balancerNotice { 2200 };
--- a/src/Fleet/FleetControl.cpp
+++ b/src/Fleet/FleetControl.cpp
@@ -1,5 +1,7 @@
 #include "Fleet/FleetControl.h"
 
+#include "Limits/LimitShares.h"
+#include "Metrics/SessionMetrics.h"
 #include "Security/Digest.h"
 
 #include <algorithm>
@@ -11,13 +13,14 @@
 static constexpr size_t digestKeyBytes = 32;
 
 FleetControl::FleetControl(FleetControlSettings settings, Timers& timers, TableStore& table, PromotionOrders& orders,
-    TrafficPort& traffic, StructuredLog& log)
+    TrafficPort& traffic, StructuredLog& log, SessionMetrics& metrics)
     : settings(std::move(settings))
     , timers(timers)
     , table(table)
     , orders(orders)
     , traffic(traffic)
     , log(log)
+    , metrics(metrics)
     , keeper({ this->settings.self, this->settings.run }, this->settings.shares, this->settings.seed)
     , promotions(this->settings.self.vm, this->settings.run, this->settings.promotion)
     , digestKey(randomBytes(digestKeyBytes))
@@ -42,6 +45,7 @@
     this->log.write("configuration_applied",
         { { "version", std::to_string(read.version) }, { "routes", std::to_string(read.routes.size()) },
             { "organisations", std::to_string(read.organisations.size()) } });
+    this->metrics.setConfigurationVersion(read.version);
     this->configuration = std::make_shared<const SessionConfiguration>(std::move(read));
     this->publish();
 }
@@ -115,6 +119,7 @@
 
 void FleetControl::sourceChanged(const std::string& reason)
 {
+    this->metrics.setStoreAvailable(reason.empty());
     if (reason.empty())
         this->log.write("dependency_regained", { { "dependency", "store" } });
     else
@@ -153,6 +158,21 @@
     });
 }
 
+static std::string_view toString(OrderStatus status)
+{
+    switch (status) {
+    case OrderStatus::Accepted:
+        return "accepted";
+    case OrderStatus::Refused:
+        return "refused";
+    case OrderStatus::NotCarriedOut:
+        return "not_carried_out";
+    case OrderStatus::Unknown:
+        break;
+    }
+    return "unknown";
+}
+
 void FleetControl::run(std::vector<ShareEffect> effects)
 {
     const std::weak_ptr<int> here = this->alive;
@@ -174,6 +194,7 @@
             if (!this->sharesKnown)
                 this->log.write("share_obtained", { { "parts", std::to_string(apply->share) } });
             this->sharesKnown = true;
+            this->metrics.setLimitShare(static_cast<double>(apply->share) / wholeShare);
             this->traffic.applyShare(apply->share, apply->expiry);
         } else if (const auto* timer = std::get_if<SetShareTimer>(&effect)) {
             this->setShareTimer(timer->when);
@@ -216,8 +237,9 @@
     } else if (const auto* order = std::get_if<OrderPromotion>(&effect)) {
         this->orders.promote(order->group, order->endpoint, this->settings.self.vm, order->token,
             [this, answer, group = order->group, attempt = order->attempt](OrderStatus status) {
-                this->log.write("promotion_answered",
-                    { { "group", group.str() }, { "status", std::to_string(static_cast<int>(status)) } });
+                this->log.write(
+                    "promotion_answered", { { "group", group.str() }, { "status", std::string(toString(status)) } });
+                this->metrics.promotionOrdered(toString(status));
                 answer(OrderAnswered { group, attempt, status });
             });
     } else if (const auto* announce = std::get_if<AnnouncePromotion>(&effect)) {
--- a/src/Fleet/FleetControl.h
+++ b/src/Fleet/FleetControl.h
@@ -17,6 +17,8 @@
 
 namespace Lavendervane {
 
+class SessionMetrics;
+
 struct FleetControlSettings {
     FleetMember self;
     std::string run; ///< differs in each run of the process
@@ -48,7 +50,8 @@
 /// Control of one VM: configuration, registry, shares of limits. Runs on the control thread.
 class FleetControl : public DirectoryListener {
 public:
-    FleetControl(FleetControlSettings, Timers&, TableStore&, PromotionOrders&, TrafficPort&, StructuredLog&);
+    FleetControl(
+        FleetControlSettings, Timers&, TableStore&, PromotionOrders&, TrafficPort&, StructuredLog&, SessionMetrics&);
     ~FleetControl() override;
 
     FleetControl(const FleetControl&) = delete;
@@ -84,6 +87,7 @@
     PromotionOrders& orders;
     TrafficPort& traffic;
     StructuredLog& log;
+    SessionMetrics& metrics;
     ShareKeeper keeper;
     PromotionKeeper promotions;
     std::string digestKey;
--- a/src/Daemon/MetricsServer.cpp
+++ b/src/Metrics/MetricsServer.cpp
@@ -1,4 +1,4 @@
-#include "Daemon/MetricsServer.h"
+#include "Metrics/MetricsServer.h"
 
 #include "Http/HttpServer.h"
 
--- a/src/Statements/StatementService.cpp
+++ b/src/Statements/StatementService.cpp
@@ -36,6 +36,7 @@
 {
     auto session = std::make_shared<CallerSession>(*this, link);
     this->sessions.insert(session.get());
+    this->events.sessionsChanged(this->sessions.size());
     return session;
 }
 
@@ -145,7 +146,11 @@
     this->relay.shutDown();
 }
 
-void StatementService::sessionEnded(CallerSession& session) { this->sessions.erase(&session); }
+void StatementService::sessionEnded(CallerSession& session)
+{
+    this->sessions.erase(&session);
+    this->events.sessionsChanged(this->sessions.size());
+}
 
 void StatementService::peerMessage(const std::string& sender, const PeerMessage& message)
 {
--- a/src/Statements/TrafficLog.h
+++ b/src/Statements/TrafficLog.h
@@ -30,6 +30,9 @@
     virtual void statementFailed(const FailedStatement&) = 0;
     virtual void statementDone(bool atReplica, Duration took) = 0;
     virtual void endpointChanged(const EndpointId&, std::string_view change) = 0;
+
+    /// Number of open sessions.
+    virtual void sessionsChanged(size_t count) = 0;
 };
 
 } // namespace Lavendervane
--- /dev/null
+++ b/tests/Metrics/SessionMetricsTest.cpp
@@ -0,0 +1,57 @@
+#include "Metrics/SessionMetrics.h"
+
+#include <boost/test/unit_test.hpp>
+#include <prometheus/registry.h>
+#include <prometheus/text_serializer.h>
+
+#include <string>
+
+using namespace Lavendervane;
+using namespace std::chrono_literals;
+
+namespace {
+
+struct SessionMetricsFixture {
+    bool shows(const std::string& line)
+    {
+        return prometheus::TextSerializer().Serialize(this->registry.Collect()).find(line + "\n") != std::string::npos;
+    }
+
+    prometheus::Registry registry;
+    SessionMetrics metrics { registry };
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(SessionMetricsTest, SessionMetricsFixture)
+
+// The share of reads at replicas and the refusals by reason are what operators are told to watch.
+BOOST_AUTO_TEST_CASE(Statements_DoneAndFailed_AreCountedByRoleAndCode)
+{
+    this->metrics.statementDone(true, 3ms);
+    this->metrics.statementDone(true, 3ms);
+    this->metrics.statementDone(false, 30ms);
+    this->metrics.statementFailed("busy", 700ms);
+    BOOST_TEST(this->shows("lavendervane_statements_total{code=\"done\"} 3"));
+    BOOST_TEST(this->shows("lavendervane_statements_total{code=\"busy\"} 1"));
+    BOOST_TEST(this->shows("lavendervane_statements_served_total{role=\"replica\"} 2"));
+    BOOST_TEST(this->shows("lavendervane_statement_seconds_count 4"));
+    BOOST_TEST(this->shows("lavendervane_statement_seconds_bucket{le=\"0.005\"} 2"));
+}
+
+BOOST_AUTO_TEST_CASE(State_Changes_IsShown)
+{
+    this->metrics.setSessions(7);
+    this->metrics.setConfigurationVersion(12);
+    this->metrics.setLimitShare(0.25);
+    this->metrics.setStoreAvailable(false);
+    this->metrics.promotionOrdered("accepted");
+    this->metrics.endpointChanged("unreachable");
+    for (const char* line :
+        { "lavendervane_sessions 7", "lavendervane_configuration_version 12", "lavendervane_limit_share_ratio 0.25",
+            "lavendervane_store_available 0", "lavendervane_promotion_orders_total{result=\"accepted\"} 1",
+            "lavendervane_endpoint_changes_total{change=\"unreachable\"} 1" })
+        BOOST_TEST(this->shows(line), line);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/Statements/ServiceFixture.h
+++ b/tests/Statements/ServiceFixture.h
@@ -93,8 +93,10 @@
     void statementFailed(const FailedStatement& failed) override { this->failed.push_back(failed); }
     void statementDone(bool, Duration) override { }
     void endpointChanged(const EndpointId&, std::string_view) override { }
+    void sessionsChanged(size_t count) override { this->sessions = count; }
 
     std::vector<FailedStatement> failed;
+    size_t sessions = 0;
 };
 
 /// A service before one group "stock" with primary "a" and replicas "b" and "c", and three routes: "strong",
