Share owners' connections wherever a VM would have fewer than eight of its own

On the small deployments the same took slots while answers were lost and replicas lagged. Change: statements go over owners while an endpoint accepts fewer than eight connections a VM. Traced: a shared link that was served while others waited took its later close for the end of that wait, and rolled back on a connection that still had a statement under way. Test: SharedLinkTest/Close_StatementUnderWay..., aborted before. A test's network used a VM that had ended, seen with the address sanitizer, and is corrected.

--- a/src/Fleet/Directory.cpp
+++ b/src/Fleet/Directory.cpp
@@ -51,10 +51,15 @@
     return std::max(1U, group->connectionsPerEndpoint / vms + extra);
 }
 
+// A connection serves one organisation. A VM with fewer connections than organisations under way there opens a new one
+// for most statements, which takes a slot of the endpoint for as long as the statement itself. Deployments have from 8
+// organisations on.
+static constexpr uint32_t connectionsForDirectUse = 8;
+
 bool Directory::isRelayed(const RegisteredEndpoint& endpoint) const
 {
     const GroupDeclaration* group = this->findGroup(endpoint.group);
-    return group && group->connectionsPerEndpoint < this->place.count;
+    return group && group->connectionsPerEndpoint < connectionsForDirectUse * this->place.count;
 }
 
 const GroupDeclaration* Directory::findGroup(const GroupId& name) const { return findIn(this->groups, name); }
--- a/src/Relay/RelayServer.cpp
+++ b/src/Relay/RelayServer.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <utility>
+#include <vector>
 
 namespace Lavendervane {
 
@@ -109,12 +110,16 @@
 
 void RelayServer::linkClosed(RelayChannel channel, const RelayClose& request)
 {
-    this->guests.erase({ channel, request.link });
+    // The end of a link may serve others from within, so it is taken out of the map first.
+    const auto ended = this->guests.extract({ channel, request.link });
 }
 
 void RelayServer::channelClosed(RelayChannel channel)
 {
-    this->guests.erase(this->guests.lower_bound({ channel, 0 }), this->guests.lower_bound({ channel + 1, 0 }));
+    const auto first = this->guests.lower_bound({ channel, 0 });
+    const auto last = this->guests.lower_bound({ channel + 1, 0 });
+    const std::vector<std::pair<Key, std::shared_ptr<Guest>>> ended(first, last);
+    this->guests.erase(first, last);
 }
 
 void RelayServer::beginStop()
--- a/src/Relay/SharedLink.cpp
+++ b/src/Relay/SharedLink.cpp
@@ -48,17 +48,18 @@
         this->acquired({ this->connection, "" }, deadline);
         return;
     }
-    const auto acquire = [self = this->shared_from_this(), deadline](const Acquired& result) {
-        self->wait = 0;
-        self->acquired(result, deadline);
-    };
     if (!this->pool->reachable()) {
-        acquire({ nullptr, "the owner does not reach the endpoint" });
+        this->answerNotRun("the owner does not reach the endpoint");
         return;
     }
-    const uint64_t number = this->pool->acquire(this->organisation, this->values.stamp(), deadline, acquire);
-    if (number)
-        this->wait = number;
+    this->waiting = true;
+    const uint64_t number = this->pool->acquire(this->organisation, this->values.stamp(), deadline,
+        [self = this->shared_from_this(), deadline](const Acquired& result) {
+            self->waiting = false;
+            self->acquired(result, deadline);
+        });
+    // The pool may have served the wait from within the call, although it numbered it.
+    this->wait = number;
 }
 
 // Carries out the leading statements that set values and prepare; returns how many they are.
@@ -189,8 +190,8 @@
 void SharedLink::close()
 {
     this->listener = nullptr;
-    if (this->wait) {
-        this->pool->cancel(std::exchange(this->wait, 0));
+    if (std::exchange(this->waiting, false)) {
+        this->pool->cancel(this->wait);
         this->working = false;
     }
     // The answer of a batch under way ends the loan.
--- a/src/Relay/SharedLink.h
+++ b/src/Relay/SharedLink.h
@@ -54,7 +54,8 @@
     std::vector<Statement> statements; ///< of the batch under way, without preparations
     size_t preparations = 0; ///< statements of the batch that the link has carried out itself
     std::shared_ptr<PooledConnection> connection; ///< while a transaction is open
-    uint64_t wait = 0; ///< in the pool
+    uint64_t wait = 0; ///< number of the last wait in the pool
+    bool waiting = false; ///< for a connection
     bool working = false;
 };
 
--- a/tests/Fleet/DirectoryTest.cpp
+++ b/tests/Fleet/DirectoryTest.cpp
@@ -42,6 +42,15 @@
         BOOST_TEST(makeDirectory({ index, 95 }, 52).connectionPart(endpoint("a")) == 1U);
 }
 
+// With few connections a VM would open a new one for most statements, and each takes a slot.
+BOOST_AUTO_TEST_CASE(IsRelayed_FewConnectionsForEachVm_IsTrue)
+{
+    BOOST_TEST(makeDirectory({ 0, 95 }, 52).isRelayed(endpoint("a")));
+    BOOST_TEST(makeDirectory({ 0, 18 }, 36).isRelayed(endpoint("a")));
+    BOOST_TEST(!makeDirectory({ 0, 18 }, 144).isRelayed(endpoint("a")));
+    BOOST_TEST(!makeDirectory({ 0, 1 }, 36).isRelayed(endpoint("a")));
+}
+
 BOOST_AUTO_TEST_CASE(FindOrganisation_ByDigestOfAnyKey_ReturnsHolder)
 {
     const Directory directory = makeDirectory({}, 1);
--- /dev/null
+++ b/tests/Relay/SharedLinkTest.cpp
@@ -0,0 +1,72 @@
+#include "Relay/SharedLink.h"
+
+#include "RelayFleet.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace Lavendervane;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// One pool with three connections at most, before database "a".
+struct SharedLinkFixture {
+    SharedLinkFixture()
+    {
+        RegisteredEndpoint endpoint;
+        endpoint.id = EndpointId("a");
+        endpoint.group = GroupId("stock");
+        endpoint.slots = 2;
+        this->connector.database("a").role = EndpointRole::Primary;
+        this->pool = std::make_shared<EndpointPool>(endpoint, this->timers, this->connector, this->observer);
+        this->pool->setConnectionLimit(3);
+    }
+
+    std::shared_ptr<SharedLink> open(const std::string& organisation, RelayFleet::Listener& listener)
+    {
+        return SharedLink::open(this->pool, OrganisationId(organisation), this->numbers, this->timers, listener);
+    }
+
+    void send(SharedLink& link, StatementKind kind)
+    {
+        link.send({ ownStatement(kind) }, this->timers.now() + 800ms);
+    }
+
+    ManualTimers timers;
+    FakeConnector connector { timers };
+    RelayFleet::Observer observer;
+    PreparedNumbers numbers;
+    std::shared_ptr<EndpointPool> pool;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(SharedLinkTest, SharedLinkFixture)
+
+// A link that got its connection while others waited took a later close for the end of that wait, and used the
+// connection for a rollback while a statement was still under way on it: processes ended with a bus error.
+BOOST_AUTO_TEST_CASE(Close_StatementUnderWayInTransaction_RollsBackAfterItsAnswer)
+{
+    RelayFleet::Listener first;
+    RelayFleet::Listener second;
+    const auto desk = this->open("desk", first);
+    const auto club = this->open("club", second);
+    this->timers.advance(20ms);
+    this->send(*desk, StatementKind::Read);
+    this->timers.advance(20ms);
+    this->connector.database("a").tooManyConnections = true;
+    this->send(*club, StatementKind::Read);
+    this->timers.advance(5ms);
+    this->send(*desk, StatementKind::Begin);
+    this->timers.advance(5ms);
+    BOOST_TEST(first.answers.size() == 2U);
+    this->send(*desk, StatementKind::Write);
+    desk->close();
+    this->timers.advance(20ms);
+    const auto& seen = this->connector.database("a").seen;
+    BOOST_REQUIRE(seen.size() >= 3U);
+    BOOST_TEST(seen.back() == "rollback");
+    BOOST_TEST(first.answers.size() == 2U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/Statements/RequestAdmissionTest.cpp
+++ b/tests/Statements/RequestAdmissionTest.cpp
@@ -35,9 +35,11 @@
     {
         if (this->network.random.below(100) < this->network.lossPercent)
             return;
-        this->network.timers.schedule(this->network.timers.now() + 1ms, [this, address, message] {
-            if (const auto receiver = this->network.receivers.find(address); receiver != this->network.receivers.end())
-                receiver->second(this->own, message);
+        // The sender may have ended when the message arrives.
+        Network& net = this->network;
+        net.timers.schedule(net.timers.now() + 1ms, [&net, sender = this->own, address, message] {
+            if (const auto receiver = net.receivers.find(address); receiver != net.receivers.end())
+                receiver->second(sender, message);
         });
     }
 
