--- a/src/Fleet/Directory.cpp
+++ b/src/Fleet/Directory.cpp
@@ -59,7 +59,8 @@
 bool Directory::isRelayed(const RegisteredEndpoint& endpoint) const
 {
     const GroupDeclaration* group = this->findGroup(endpoint.group);
-    return group && group->connectionsPerEndpoint < connectionsForDirectUse * this->place.count;
+    return group && this->place.count > 1
+        && group->connectionsPerEndpoint < connectionsForDirectUse * this->place.count;
 }
 
 const GroupDeclaration* Directory::findGroup(const GroupId& name) const { return findIn(this->groups, name); }
