Log at the owner why it could not answer a relayed statement

Cause: a caller's statement that an endpoint broke off was logged by the VM that served the caller; only the owner of the connection knows why. Change: the owner logs relay_failed with the caller's identifier, the endpoint and the reason. Test: RelayTest/Batch_EndpointBreaksOff_IsLoggedByOwnerUnderTheCallersId follows an identifier over two VMs.

--- a/src/Fleet/Directory.h
+++ b/src/Fleet/Directory.h
@@ -108,7 +108,8 @@
     /// remainder of the division goes to other VMs for each endpoint.
     uint32_t connectionPart(const RegisteredEndpoint&) const;
 
-    /// True if the endpoint accepts too few connections for each VM to have its own; statements then go over its owners.
+    /// True if the endpoint accepts too few connections for each VM to have its own; statements then go over its
+    /// owners.
     bool isRelayed(const RegisteredEndpoint&) const;
 
     /// Null if there is no such route.
--- a/src/Fleet/EntryDaemon.cpp
+++ b/src/Fleet/EntryDaemon.cpp
@@ -90,6 +90,13 @@
                 { "configuration", std::to_string(failed.configurationVersion) } });
     }
 
+    void relayFailed(const FailedRelay& failed) override
+    {
+        this->log.write("relay_failed",
+            { { "request", failed.id }, { "organisation", failed.organisation.str() },
+                { "endpoint", failed.endpoint.str() }, { "reason", failed.reason } });
+    }
+
     void statementDone(bool atReplica, Duration took) override { this->metrics.statementDone(atReplica, took); }
 
     void endpointChanged(const EndpointId& endpoint, std::string_view change) override
--- a/src/Limits/ShareLedger.cpp
+++ b/src/Limits/ShareLedger.cpp
@@ -37,8 +37,9 @@
 {
     Json holders = Json::object();
     for (const auto& [vm, entry] : this->entries) {
-        holders[vm.str()] = { { "run", entry.run }, { "data_centre", entry.dataCentre.str() },
-            { "address", entry.address }, { "processor", entry.processorMillis }, { "until", entry.untilMs }, { "share", entry.share } };
+        holders[vm.str()]
+            = { { "run", entry.run }, { "data_centre", entry.dataCentre.str() }, { "address", entry.address },
+                  { "processor", entry.processorMillis }, { "until", entry.untilMs }, { "share", entry.share } };
     }
     return Json { { "holders", std::move(holders) } }.dump();
 }
--- a/src/Relay/OwnerPools.h
+++ b/src/Relay/OwnerPools.h
@@ -10,7 +10,8 @@
 
 namespace Lavendervane {
 
-/// Connections that this VM holds for all VMs, to the endpoints that it owns. A pool is made when it is first asked for.
+/// Connections that this VM holds for all VMs, to the endpoints that it owns. A pool is made when it is first asked
+/// for.
 class OwnerPools {
 public:
     OwnerPools(Timers&, EndpointConnector&, EndpointObserver&);
--- a/src/Relay/Relay.cpp
+++ b/src/Relay/Relay.cpp
@@ -39,8 +39,8 @@
         }
         const auto within
             = std::chrono::duration_cast<std::chrono::milliseconds>(deadline - this->relay.timers.now()).count();
-        this->relay.transport.send(
-            this->channel, RelayBatch { this->number, static_cast<uint64_t>(std::max<int64_t>(within, 1)), statements });
+        this->relay.transport.send(this->channel,
+            RelayBatch { this->number, static_cast<uint64_t>(std::max<int64_t>(within, 1)), statements });
     }
 
     void close() override
@@ -121,8 +121,7 @@
             this->ownerFailed(LinkFailure::Rejected, AnswerCode::WrongEndpoint, "the endpoint has left", false);
             return;
         }
-        this->local
-            = SharedLink::open(pool, this->target.organisation, this->relay.numbers, this->relay.timers, *this);
+        this->local = SharedLink::open(pool, this->target.organisation, this->relay.numbers, this->relay.timers, *this);
     }
 
     void ownerFailed(LinkFailure failure, AnswerCode code, const std::string& message, bool wasSilent)
@@ -184,14 +183,14 @@
 };
 
 Relay::Relay(VmId own, Timers& timers, EndpointConnector& connector, RelayTransport& transport,
-    EndpointObserver& observer, PreparedNumbers& numbers, RelaySettings settings)
+    EndpointObserver& observer, PreparedNumbers& numbers, TrafficLog& log, RelaySettings settings)
     : own(std::move(own))
     , timers(timers)
     , transport(transport)
     , numbers(numbers)
     , settings(settings)
     , pools(timers, connector, observer)
-    , server(timers, transport, this->pools, numbers)
+    , server(timers, transport, this->pools, numbers, log)
 {
     transport.setListener(this);
 }
@@ -307,9 +306,6 @@
         link->channelClosed();
 }
 
-void Relay::shutDown()
-{
-    this->pools.retireAll();
-}
+void Relay::shutDown() { this->pools.retireAll(); }
 
 } // namespace Lavendervane
--- a/src/Relay/Relay.h
+++ b/src/Relay/Relay.h
@@ -30,7 +30,7 @@
 /// it owns itself. Used where an endpoint accepts fewer connections than there are VMs.
 class Relay : public EndpointConnector, private RelayTransportListener {
 public:
-    Relay(VmId own, Timers&, EndpointConnector&, RelayTransport&, EndpointObserver&, PreparedNumbers&,
+    Relay(VmId own, Timers&, EndpointConnector&, RelayTransport&, EndpointObserver&, PreparedNumbers&, TrafficLog&,
         RelaySettings = {});
     ~Relay() override;
 
--- a/src/Relay/RelayMessages.cpp
+++ b/src/Relay/RelayMessages.cpp
@@ -97,8 +97,8 @@
 struct Encoder {
     Json operator()(const RelayOpen& message) const
     {
-        return Json::array({ OpenKind, message.link, message.group.str(), message.endpoint.str(),
-            message.organisation.str() });
+        return Json::array(
+            { OpenKind, message.link, message.group.str(), message.endpoint.str(), message.organisation.str() });
     }
     Json operator()(const RelayOpened& message) const { return Json::array({ OpenedKind, message.link }); }
     Json operator()(const RelayBatch& message) const
--- a/src/Relay/RelayServer.cpp
+++ b/src/Relay/RelayServer.cpp
@@ -13,9 +13,11 @@
 /// One link of another VM.
 class RelayServer::Guest : public LinkListener, public std::enable_shared_from_this<Guest> {
 public:
-    Guest(RelayServer& server, Key key)
+    Guest(RelayServer& server, Key key, const RelayOpen& request)
         : server(server)
         , key(key)
+        , endpoint(request.endpoint)
+        , organisation(request.organisation)
     {
     }
 
@@ -25,15 +27,19 @@
             this->link->close();
     }
 
-    void open(std::shared_ptr<EndpointPool> pool, const OrganisationId& organisation)
+    void open(std::shared_ptr<EndpointPool> pool)
     {
         this->link
-            = SharedLink::open(std::move(pool), organisation, this->server.numbers, this->server.timers, *this);
+            = SharedLink::open(std::move(pool), this->organisation, this->server.numbers, this->server.timers, *this);
     }
 
     void send(const RelayBatch& batch)
     {
         const Instant deadline = this->server.timers.now() + std::chrono::milliseconds(batch.withinMs);
+        for (const Statement& statement : batch.statements) {
+            if (!statement.id.empty())
+                this->statementId = statement.id;
+        }
         this->link->send(batch.statements, deadline);
     }
 
@@ -54,6 +60,7 @@
     void linkAnswered(std::vector<EndpointAnswer> answers) override
     {
         const auto self = this->shared_from_this();
+        this->statementId.clear();
         this->server.transport.send(this->key.first, RelayAnswers { this->key.second, std::move(answers) });
         if (this->server.stopping && !this->busy())
             this->fail(LinkFailure::Broken, AnswerCode::Busy, "the owner is stopping");
@@ -61,20 +68,27 @@
 
     void linkFailed(LinkFailure failure, AnswerCode code, const std::string& message) override
     {
+        if (!this->statementId.empty())
+            this->server.log.relayFailed({ this->statementId, this->organisation, this->endpoint, message });
         this->fail(failure, code, message);
     }
 
 private:
     RelayServer& server;
     Key key;
+    EndpointId endpoint;
+    OrganisationId organisation;
+    std::string statementId; ///< of the batch under way, as the caller gave it
     std::shared_ptr<SharedLink> link;
 };
 
-RelayServer::RelayServer(Timers& timers, RelayTransport& transport, OwnerPools& pools, PreparedNumbers& numbers)
+RelayServer::RelayServer(
+    Timers& timers, RelayTransport& transport, OwnerPools& pools, PreparedNumbers& numbers, TrafficLog& log)
     : timers(timers)
     , transport(transport)
     , pools(pools)
     , numbers(numbers)
+    , log(log)
 {
 }
 
@@ -90,9 +104,9 @@
         return;
     }
     const Key key { channel, request.link };
-    const auto guest = std::make_shared<Guest>(*this, key);
+    const auto guest = std::make_shared<Guest>(*this, key, request);
     this->guests[key] = guest;
-    guest->open(pool, request.organisation);
+    guest->open(pool);
 }
 
 void RelayServer::batchReceived(RelayChannel channel, const RelayBatch& batch)
--- a/src/Relay/RelayServer.h
+++ b/src/Relay/RelayServer.h
@@ -3,6 +3,7 @@
 #include "Relay/OwnerPools.h"
 #include "Relay/RelayTransport.h"
 #include "Statements/SessionValues.h"
+#include "Statements/TrafficLog.h"
 
 #include <cstdint>
 #include <map>
@@ -14,7 +15,7 @@
 /// Carries statements of other VMs' callers to the endpoints that this VM owns.
 class RelayServer {
 public:
-    RelayServer(Timers&, RelayTransport&, OwnerPools&, PreparedNumbers&);
+    RelayServer(Timers&, RelayTransport&, OwnerPools&, PreparedNumbers&, TrafficLog&);
     ~RelayServer();
 
     RelayServer(const RelayServer&) = delete;
@@ -41,6 +42,7 @@
     RelayTransport& transport;
     OwnerPools& pools;
     PreparedNumbers& numbers;
+    TrafficLog& log;
     std::map<Key, std::shared_ptr<Guest>> guests;
     bool stopping = false;
 };
--- a/src/Relay/SharedLink.cpp
+++ b/src/Relay/SharedLink.cpp
@@ -113,8 +113,8 @@
     });
 }
 
-// Adds the statements to the batch, under the names of the connection and after what prepares them. Returns false if the
-// sender has not prepared one of them.
+// Adds the statements to the batch, under the names of the connection and after what prepares them. Returns false if
+// the sender has not prepared one of them.
 bool SharedLink::bringPreparedStatements(PooledConnection& borrowed, std::vector<Statement>& batch)
 {
     std::vector<Statement> renamed = this->statements;
--- a/src/Relay/SharedLink.h
+++ b/src/Relay/SharedLink.h
@@ -12,9 +12,9 @@
 
 namespace Lavendervane {
 
-/// A link that has no connection of its own: it borrows one from a pool for each batch, and keeps it while a transaction
-/// is open. Session values and prepared statements belong to the link and are brought to each borrowed connection. A
-/// batch that got no connection is answered as not run.
+/// A link that has no connection of its own: it borrows one from a pool for each batch, and keeps it while a
+/// transaction is open. Session values and prepared statements belong to the link and are brought to each borrowed
+/// connection. A batch that got no connection is answered as not run.
 class SharedLink : public EndpointLink, public std::enable_shared_from_this<SharedLink> {
 public:
     /// Opens the link; fails it with Unreachable if the pool does not reach its endpoint. The listener must outlive the
--- a/src/Relay/TcpRelay.cpp
+++ b/src/Relay/TcpRelay.cpp
@@ -141,8 +141,8 @@
     try {
         this->connections.at(channel)->connect(toTcp(address), "");
     } catch (const Error& error) {
-        asio::post(this->context,
-            [this, channel, reason = std::string(error.what())] { this->ended(channel, reason); });
+        asio::post(
+            this->context, [this, channel, reason = std::string(error.what())] { this->ended(channel, reason); });
     }
     return channel;
 }
--- a/src/Runtime/StreamSocket.h
+++ b/src/Runtime/StreamSocket.h
@@ -9,8 +9,8 @@
 
 namespace Lavendervane {
 
-/// TCP connection without a framing of its own. All work is done on the thread of the io_context. No call to the derived
-/// class comes from within a call to the socket, and none after `close`.
+/// TCP connection without a framing of its own. All work is done on the thread of the io_context. No call to the
+/// derived class comes from within a call to the socket, and none after `close`.
 class StreamSocket : public std::enable_shared_from_this<StreamSocket> {
 public:
     explicit StreamSocket(boost::asio::ip::tcp::socket);
--- a/src/Statements/GroupTraffic.h
+++ b/src/Statements/GroupTraffic.h
@@ -24,8 +24,8 @@
 class GroupTraffic {
 public:
     /// `relay` opens links over the owners of an endpoint's connections.
-    GroupTraffic(GroupId, GroupTrafficSettings, Timers&, EndpointConnector& direct, EndpointConnector& relay,
-        EndpointObserver&);
+    GroupTraffic(
+        GroupId, GroupTrafficSettings, Timers&, EndpointConnector& direct, EndpointConnector& relay, EndpointObserver&);
 
     /// Takes over the endpoints of the registry. Pools of endpoints that left or started again are retired.
     void update(const std::vector<RegisteredEndpoint>&, const Directory&);
--- a/src/Statements/PooledConnection.cpp
+++ b/src/Statements/PooledConnection.cpp
@@ -145,8 +145,8 @@
         return;
     }
     const auto prepared = answers.begin() + static_cast<std::ptrdiff_t>(std::min(this->preparations, answers.size()));
-    if (std::any_of(answers.begin(), prepared,
-            [](const EndpointAnswer& answer) { return answer.code != AnswerCode::Done; })) {
+    if (std::any_of(
+            answers.begin(), prepared, [](const EndpointAnswer& answer) { return answer.code != AnswerCode::Done; })) {
         // What came after ran with other values than the session's, and the connection's values are not known.
         this->abandon();
         return;
--- a/src/Statements/StatementService.cpp
+++ b/src/Statements/StatementService.cpp
@@ -20,7 +20,8 @@
     , admissions(this->limitShares, timers, transport, this->options.vm, this->options.dataCentre,
           this->options.admission, stableHash(this->options.vm.str()))
     , poll(timers, transport, this->options.vm, this->options.reachabilityPoll, stableHash(this->options.vm.str()))
-    , relay(this->options.vm, timers, connector, relayTransport, static_cast<EndpointObserver&>(*this), this->numbers)
+    , relay(this->options.vm, timers, connector, relayTransport, static_cast<EndpointObserver&>(*this), this->numbers,
+          log)
 {
     transport.setListener(this);
 }
--- a/src/Statements/TrafficLog.h
+++ b/src/Statements/TrafficLog.h
@@ -22,12 +22,22 @@
     uint64_t configurationVersion = 0;
 };
 
+/// A statement that this VM carried for another one and could not answer. The other VM logs the outcome under the same
+/// identifier.
+struct FailedRelay {
+    std::string id; ///< as the caller gave it
+    OrganisationId organisation;
+    EndpointId endpoint;
+    std::string reason;
+};
+
 /// Receives what traffic has decided, for logs and metrics. Calls come on the traffic thread and must not block.
 class TrafficLog {
 public:
     virtual ~TrafficLog() = default;
 
     virtual void statementFailed(const FailedStatement&) = 0;
+    virtual void relayFailed(const FailedRelay&) = 0;
     virtual void statementDone(bool atReplica, Duration took) = 0;
     virtual void endpointChanged(const EndpointId&, std::string_view change) = 0;
 
--- a/tests/Limits/ShareKeeperTest.cpp
+++ b/tests/Limits/ShareKeeperTest.cpp
@@ -94,9 +94,11 @@
     {
         for (const ShareEffect& effect : effects) {
             if (std::holds_alternative<ReadLedger>(effect))
-                this->call(vm, [] { return TableStatus::Done; }, false);
+                this->call(
+                    vm, [] { return TableStatus::Done; }, false);
             else if (const auto* write = std::get_if<WriteLedger>(&effect))
-                this->call(vm, [this, transaction = write->transaction] { return this->transact(transaction); }, true);
+                this->call(
+                    vm, [this, transaction = write->transaction] { return this->transact(transaction); }, true);
             else if (const auto* timer = std::get_if<SetShareTimer>(&effect))
                 this->at(timer->when,
                     [this, vm] { this->carryOut(vm, this->keepers[vm].handle(ShareTimerFired {}, this->now)); });
@@ -116,7 +118,8 @@
             reply.result.status = work();
             reply.result.rows = { this->row };
             reply.revision = this->row.revision;
-            const auto milliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(this->now.time_since_epoch());
+            const auto milliseconds
+                = std::chrono::duration_cast<std::chrono::milliseconds>(this->now.time_since_epoch());
             reply.clock = { static_cast<uint64_t>(milliseconds.count()), sent, this->now + oneWay };
             this->at(this->now + oneWay, [this, vm, reply, write] {
                 const ShareEvent event = write ? ShareEvent(LedgerWritten { reply }) : ShareEvent(LedgerRead { reply });
--- a/tests/Relay/OwnerPlacementTest.cpp
+++ b/tests/Relay/OwnerPlacementTest.cpp
@@ -48,8 +48,7 @@
 
 BOOST_AUTO_TEST_CASE(Candidates_DataCentreHasNoVms_AreElsewhere)
 {
-    const auto found
-        = this->placement.candidates(EndpointId("a"), DataCentre("dc-9"), OrganisationId("o"));
+    const auto found = this->placement.candidates(EndpointId("a"), DataCentre("dc-9"), OrganisationId("o"));
     BOOST_TEST(found.size() == 5U);
 }
 
--- a/tests/Relay/RelayFleet.cpp
+++ b/tests/Relay/RelayFleet.cpp
@@ -71,7 +71,7 @@
 
 RelayFleet::Vm::Vm(RelayFleet& fleet, const FleetMember& member)
     : port(fleet.network, member.address)
-    , relay(member.vm, fleet.timers, fleet.connector, this->port, fleet.observer, this->numbers)
+    , relay(member.vm, fleet.timers, fleet.connector, this->port, fleet.observer, this->numbers, fleet.log)
 {
     this->relay.setMembers(fleet.members);
     this->relay.setDirectory(fleet.directory);
@@ -97,8 +97,8 @@
         this->members.push_back({ VmId(name), DataCentre("dc"), name });
     }
     this->placement.setMembers(this->members);
-    this->directory = std::make_shared<const Directory>(1,
-        std::make_shared<const SessionConfiguration>(configuration), endpoints, FleetPlace { 0, 9 }, "secret");
+    this->directory = std::make_shared<const Directory>(
+        1, std::make_shared<const SessionConfiguration>(configuration), endpoints, FleetPlace { 0, 9 }, "secret");
     for (const FleetMember& member : this->members)
         this->vms[member.vm.str()] = std::make_unique<Vm>(*this, member);
 }
@@ -115,16 +115,14 @@
 RelayFleet::Vm& RelayFleet::stranger(const std::string& endpoint)
 {
     const auto owners = this->ownersOf(endpoint);
-    const auto found = std::find_if(this->vms.begin(), this->vms.end(), [&owners](const auto& entry) {
-        return std::find(owners.begin(), owners.end(), entry.first) == owners.end();
-    });
+    const auto found = std::find_if(this->vms.begin(), this->vms.end(),
+        [&owners](const auto& entry) { return std::find(owners.begin(), owners.end(), entry.first) == owners.end(); });
     return *found->second;
 }
 
 std::shared_ptr<EndpointLink> RelayFleet::open(Vm& vm, const std::string& endpoint, Listener& listener)
 {
-    return vm.relay.connect(
-        { GroupId("stock"), EndpointId(endpoint), "10.0.0.1:1", OrganisationId("desk") }, listener);
+    return vm.relay.connect({ GroupId("stock"), EndpointId(endpoint), "10.0.0.1:1", OrganisationId("desk") }, listener);
 }
 
 void RelayFleet::send(EndpointLink& link, std::vector<Statement> statements)
--- a/tests/Relay/RelayFleet.h
+++ b/tests/Relay/RelayFleet.h
@@ -56,7 +56,8 @@
     RelayChannel last = 0;
 };
 
-/// VMs of one data centre before the endpoints "a" (primary) and "b", which accept fewer connections than there are VMs.
+/// VMs of one data centre before the endpoints "a" (primary) and "b", which accept fewer connections than there are
+/// VMs.
 struct RelayFleet {
     struct Vm {
         Vm(RelayFleet&, const FleetMember&);
@@ -70,7 +71,10 @@
     struct Listener : LinkListener {
         void linkConnected() override { }
         void linkOpened() override { this->opened = true; }
-        void linkAnswered(std::vector<EndpointAnswer> received) override { this->answers.push_back(std::move(received)); }
+        void linkAnswered(std::vector<EndpointAnswer> received) override
+        {
+            this->answers.push_back(std::move(received));
+        }
         void linkFailed(LinkFailure reason, AnswerCode, const std::string&) override { this->failure = reason; }
 
         bool opened = false;
@@ -78,6 +82,16 @@
         std::optional<LinkFailure> failure;
     };
 
+    struct Log : TrafficLog {
+        void statementFailed(const FailedStatement&) override { }
+        void relayFailed(const FailedRelay& failed) override { this->relays.push_back(failed); }
+        void statementDone(bool, Duration) override { }
+        void endpointChanged(const EndpointId&, std::string_view) override { }
+        void sessionsChanged(size_t) override { }
+
+        std::vector<FailedRelay> relays;
+    };
+
     struct Observer : EndpointObserver {
         void endpointReachable(const EndpointId&, bool) override { }
     };
@@ -99,6 +113,7 @@
     FakeConnector connector { timers };
     RelayNetwork network { timers };
     Observer observer;
+    Log log;
     std::vector<FleetMember> members;
     OwnerPlacement placement;
     std::shared_ptr<const Directory> directory;
--- a/tests/Relay/RelayTest.cpp
+++ b/tests/Relay/RelayTest.cpp
@@ -151,6 +151,25 @@
     BOOST_TEST((listener.failure == LinkFailure::Broken));
 }
 
+// On-call engineers follow a request by its identifier from the VM that served the caller to the one that spoke to the
+// endpoint, which alone knows why there was no answer.
+BOOST_AUTO_TEST_CASE(Batch_EndpointBreaksOff_IsLoggedByOwnerUnderTheCallersId)
+{
+    Listener listener;
+    const auto link = this->open(this->stranger("a"), "a", listener);
+    this->settle();
+    this->connector.database("a").breakAt = StatementKind::Write;
+    Statement write = statement(StatementKind::Write, "WRITE x 1");
+    write.id = "5c0e7a21d94b36f8";
+    this->send(*link, { write });
+    this->settle();
+    BOOST_TEST((listener.failure == LinkFailure::Broken));
+    BOOST_REQUIRE(this->log.relays.size() == 1U);
+    BOOST_TEST(this->log.relays.front().id == "5c0e7a21d94b36f8");
+    BOOST_TEST(this->log.relays.front().endpoint == EndpointId("a"));
+    BOOST_TEST(this->log.relays.front().reason == "the connection to the endpoint broke");
+}
+
 // "Not run" must be true: without a connection nothing has been sent.
 BOOST_AUTO_TEST_CASE(Batch_EndpointTakesNoConnections_IsAnsweredAsNotRun)
 {
--- a/tests/Relay/SharedLinkTest.cpp
+++ b/tests/Relay/SharedLinkTest.cpp
@@ -27,10 +27,7 @@
         return SharedLink::open(this->pool, OrganisationId(organisation), this->numbers, this->timers, listener);
     }
 
-    void send(SharedLink& link, StatementKind kind)
-    {
-        link.send({ ownStatement(kind) }, this->timers.now() + 800ms);
-    }
+    void send(SharedLink& link, StatementKind kind) { link.send({ ownStatement(kind) }, this->timers.now() + 800ms); }
 
     ManualTimers timers;
     FakeConnector connector { timers };
--- a/tests/Statements/ServiceFixture.h
+++ b/tests/Statements/ServiceFixture.h
@@ -91,6 +91,7 @@
 class FakeTrafficLog : public TrafficLog {
 public:
     void statementFailed(const FailedStatement& failed) override { this->failed.push_back(failed); }
+    void relayFailed(const FailedRelay&) override { }
     void statementDone(bool, Duration) override { }
     void endpointChanged(const EndpointId&, std::string_view) override { }
     void sessionsChanged(size_t count) override { this->sessions = count; }
