--- a/src/Configuration/Declaration.h
+++ b/src/Configuration/Declaration.h
@@ -14,7 +14,7 @@
     std::vector<std::string> faults;
 };
 
-/// Parses a YAML declaration (format in docs/operations.md). `file` is only used in faults.
+/// Parses a YAML declaration (format in docs/OPERATIONS.md). `file` is only used in faults.
 Declaration parseDeclaration(const std::string& yaml, const std::string& file);
 
 } // namespace Lavendervane
--- a/src/Ctl/Commands.h
+++ b/src/Ctl/Commands.h
@@ -7,7 +7,7 @@
 
 class OperatorClient;
 
-/// Exit codes of lavendervanectl; documented in docs/operations.md.
+/// Exit codes of lavendervanectl; documented in docs/OPERATIONS.md.
 enum class ExitCode {
     Success = 0,
     Failed = 1, ///< no VM answered, or nothing was committed
--- a/src/Promotion/PromotionKeeper.cpp
+++ b/src/Promotion/PromotionKeeper.cpp
@@ -66,7 +66,9 @@
 {
     const auto ranking = rankByRendezvous(this->fleet, group.str(), this->fleet.size());
     const auto place = std::find(ranking.begin(), ranking.end(), this->own) - ranking.begin();
-    return std::min<Duration>(this->settings.turnInterval * place, this->settings.longestTurn);
+    const auto vms = std::max<int64_t>(1, static_cast<int64_t>(this->fleet.size()));
+    const Duration interval = std::min<Duration>(this->settings.turnInterval, this->settings.longestTurn / vms);
+    return interval * place;
 }
 
 // Of several endpoints that call themselves primary, the one that began to do so last: an old primary may not have
--- a/tests/Promotion/PromotionKeeperTest.cpp
+++ b/tests/Promotion/PromotionKeeperTest.cpp
@@ -152,6 +152,35 @@
     BOOST_TEST(!this->find<AskOpinions>());
 }
 
+// In a large fleet only a few VMs have statements under way at a primary when it fails; the first turn among them must
+// not be seconds away.
+BOOST_AUTO_TEST_CASE(Primary_FewVmsOfLargeFleetNotice_OneActsWithinHalfASecond)
+{
+    FleetSeen fleet;
+    for (int vm = 0; vm < 95; ++vm)
+        fleet.vms.emplace_back("vm-" + std::to_string(vm));
+    Duration total {};
+    for (int group = 0; group < 20; ++group) {
+        const GroupId name("stock-" + std::to_string(group));
+        Duration first = 10s;
+        for (int noticing = 0; noticing < 5; ++noticing) {
+            const VmId own = fleet.vms[static_cast<size_t>(noticing * 19 + group) % 95];
+            PromotionKeeper large(own, "run", {});
+            large.handle(fleet, this->now);
+            RegisteredEndpoint primary = endpoint(a, EndpointRole::Primary);
+            RegisteredEndpoint replica = endpoint(b, EndpointRole::Replica);
+            primary.group = name;
+            replica.group = name;
+            large.handle(RegistrySeen { { primary, replica }, {} }, this->now);
+            const auto turn = large.handle(EndpointReachability { name, a, false }, this->now);
+            BOOST_REQUIRE(!turn.empty());
+            first = std::min(first, std::get<SetPromotionTimer>(turn.front()).when - this->now);
+        }
+        total += first;
+    }
+    BOOST_TEST((total / 20 <= 500ms));
+}
+
 // Two VMs must not act at the same time.
 BOOST_AUTO_TEST_CASE(Claim_HeldByAnotherVm_OrdersNothing)
 {
