Reach an endpoint directly when none of its owners does

Change: a VM tries itself after the owners. Test: RelayTest/Open_OwnersAreCutOffFromEndpoint_ReachesItDirectly, failed before. Open_NoOwnerReachesEndpoint now lets the VM itself meet the failure too, since it is one more candidate.

--- a/src/Relay/Relay.cpp
+++ b/src/Relay/Relay.cpp
@@ -229,6 +229,9 @@
         const auto owner = this->owners.find(member.address);
         return member.vm == this->own || owner == this->owners.end() || owner->second.silentUntil <= now;
     });
+    // An endpoint may be cut off from its owners and not from this VM.
+    if (std::none_of(all.begin(), all.end(), [this](const FleetMember& member) { return member.vm == this->own; }))
+        all.push_back({ this->own, {}, "", 0, false });
     return all;
 }
 
--- a/src/Relay/Relay.h
+++ b/src/Relay/Relay.h
@@ -40,7 +40,7 @@
     void setDirectory(const std::shared_ptr<const Directory>&);
     void setMembers(std::vector<FleetMember>);
 
-    /// Opens a link over an owner; the next one is tried if an owner cannot serve.
+    /// Opens a link over an owner; the next one is tried if an owner cannot serve, and this VM itself at last.
     std::shared_ptr<EndpointLink> connect(const LinkTarget&, LinkListener&) override;
 
     /// Takes no new work of other VMs.
--- a/tests/Relay/RelayFleet.cpp
+++ b/tests/Relay/RelayFleet.cpp
@@ -69,9 +69,9 @@
     });
 }
 
-RelayFleet::Vm::Vm(RelayFleet& fleet, const FleetMember& member)
+RelayFleet::Vm::Vm(RelayFleet& fleet, const FleetMember& member, EndpointConnector& connector)
     : port(fleet.network, member.address)
-    , relay(member.vm, fleet.timers, fleet.connector, this->port, fleet.observer, this->numbers, fleet.log)
+    , relay(member.vm, fleet.timers, connector, this->port, fleet.observer, this->numbers, fleet.log)
 {
     this->relay.setMembers(fleet.members);
     this->relay.setDirectory(fleet.directory);
@@ -100,7 +100,17 @@
     this->directory = std::make_shared<const Directory>(
         1, std::make_shared<const SessionConfiguration>(configuration), endpoints, FleetPlace { 0, 9 }, "secret");
     for (const FleetMember& member : this->members)
-        this->vms[member.vm.str()] = std::make_unique<Vm>(*this, member);
+        this->vms[member.vm.str()] = std::make_unique<Vm>(*this, member, this->connector);
+    for (const char* id : { "a", "b" })
+        this->cutConnector.database(id).refuseConnections = true;
+}
+
+void RelayFleet::cutOffEndpoints(const std::string& vm)
+{
+    const auto member = std::find_if(
+        this->members.begin(), this->members.end(), [&vm](const FleetMember& known) { return known.vm.str() == vm; });
+    this->vms.erase(vm);
+    this->vms[vm] = std::make_unique<Vm>(*this, *member, this->cutConnector);
 }
 
 std::vector<std::string> RelayFleet::ownersOf(const std::string& endpoint) const
--- a/tests/Relay/RelayFleet.h
+++ b/tests/Relay/RelayFleet.h
@@ -60,7 +60,7 @@
 /// VMs.
 struct RelayFleet {
     struct Vm {
-        Vm(RelayFleet&, const FleetMember&);
+        Vm(RelayFleet&, const FleetMember&, EndpointConnector&);
 
         RelayNetwork::Port port;
         PreparedNumbers numbers;
@@ -98,6 +98,9 @@
 
     RelayFleet();
 
+    /// Starts the VM again where it does not reach the endpoints.
+    void cutOffEndpoints(const std::string& vm);
+
     /// VMs in the order in which a link to the endpoint tries them.
     std::vector<std::string> ownersOf(const std::string& endpoint) const;
 
@@ -111,6 +114,7 @@
 
     ManualTimers timers;
     FakeConnector connector { timers };
+    FakeConnector cutConnector { timers };
     RelayNetwork network { timers };
     Observer observer;
     Log log;
--- a/tests/Relay/RelayTest.cpp
+++ b/tests/Relay/RelayTest.cpp
@@ -185,12 +185,35 @@
     BOOST_TEST((listener.failure == LinkFailure::Broken));
 }
 
-// One owner may be cut off from an endpoint that others reach; only when every owner has met the same it is known.
+// A primary that is cut off from its owners may still be reached from here.
+BOOST_AUTO_TEST_CASE(Open_OwnersAreCutOffFromEndpoint_ReachesItDirectly)
+{
+    Vm& vm = this->stranger("a");
+    for (const std::string& owner : this->ownersOf("a"))
+        this->cutOffEndpoints(owner);
+    for (size_t tried = 0; tried < this->ownersOf("a").size(); ++tried) {
+        Listener listener;
+        const auto link = this->open(vm, "a", listener);
+        this->settle();
+        this->send(*link, { statement(StatementKind::Read, "READ x") });
+        this->settle();
+    }
+    Listener last;
+    const auto link = this->open(vm, "a", last);
+    this->settle();
+    BOOST_REQUIRE(last.opened);
+    this->send(*link, { statement(StatementKind::Read, "READ x") });
+    this->settle();
+    BOOST_REQUIRE(last.answers.size() == 1U);
+    BOOST_TEST((last.answers.front().front().code == AnswerCode::Done));
+}
+
+// Only when every owner and this VM itself have met the same, an endpoint counts as unreachable.
 BOOST_AUTO_TEST_CASE(Open_NoOwnerReachesEndpoint_IsUnreachable)
 {
     Vm& vm = this->stranger("a");
     this->connector.database("a").refuseConnections = true;
-    for (size_t owner = 0; owner < this->ownersOf("a").size(); ++owner) {
+    for (size_t tried = 0; tried <= this->ownersOf("a").size(); ++tried) {
         Listener listener;
         const auto link = this->open(vm, "a", listener);
         this->settle();
