--- a/src/Promotion/PromotionKeeper.h
+++ b/src/Promotion/PromotionKeeper.h
@@ -17,8 +17,8 @@
 struct PromotionKeeperSettings {
     /// Pause between two VMs of the order of turns. A claim and an order take about 50 ms.
     Duration turnInterval = std::chrono::milliseconds(120);
-    /// Longest pause before this VM's turn. In large fleets the pauses between VMs are shorter, so that the turns of the
-    /// few VMs that notice first are not all late; the claim sorts out those that meet.
+    /// Longest pause before this VM's turn. In large fleets the pauses between VMs are shorter, so that the turns of
+    /// the few VMs that notice first are not all late; the claim sorts out those that meet.
     Duration longestTurn = std::chrono::seconds(2);
     /// Life of a claim, by the table's clock: an inspection, an order and its effect take under 2 s.
     uint64_t claimMs = 3000;
--- a/src/Relay/OwnerPlacement.cpp
+++ b/src/Relay/OwnerPlacement.cpp
@@ -53,6 +53,7 @@
         scored[index].first = score(*scored[index].second, organisationHash, 1);
     std::sort(scored.begin(), scored.begin() + static_cast<std::ptrdiff_t>(owners), isBetter);
     std::vector<FleetMember> ranked;
+    ranked.reserve(scored.size());
     for (const Scored& entry : scored)
         ranked.push_back(*entry.second);
     return ranked;
--- a/tests/Relay/RelayFleet.cpp
+++ b/tests/Relay/RelayFleet.cpp
@@ -135,7 +135,7 @@
     return vm.relay.connect({ GroupId("stock"), EndpointId(endpoint), "10.0.0.1:1", OrganisationId("desk") }, listener);
 }
 
-void RelayFleet::send(EndpointLink& link, std::vector<Statement> statements)
+void RelayFleet::send(EndpointLink& link, const std::vector<Statement>& statements)
 {
     link.send(statements, this->timers.now() + std::chrono::milliseconds(800));
 }
--- a/tests/Relay/RelayFleet.h
+++ b/tests/Relay/RelayFleet.h
@@ -108,7 +108,7 @@
     Vm& stranger(const std::string& endpoint);
 
     std::shared_ptr<EndpointLink> open(Vm&, const std::string& endpoint, Listener&);
-    void send(EndpointLink&, std::vector<Statement>);
+    void send(EndpointLink&, const std::vector<Statement>&);
     void settle() { this->timers.advance(std::chrono::milliseconds(40)); }
     void stop(const std::string& vm) { this->vms.erase(vm); }
 
