Look endpoints up without copying their list for each link

Cause: Relay::candidates copied the whole list of endpoints for every link that it opened, on the path of statements. Change: it reads the directory's list. Behaviour is unchanged.

--- a/src/Relay/Relay.cpp
+++ b/src/Relay/Relay.cpp
@@ -218,7 +218,9 @@
 // Owners that were silent lately come last, so that not every link waits for them.
 std::vector<FleetMember> Relay::candidates(const LinkTarget& target) const
 {
-    const auto endpoints = this->directory ? this->directory->endpoints() : std::vector<RegisteredEndpoint>();
+    if (!this->directory)
+        return {};
+    const std::vector<RegisteredEndpoint>& endpoints = this->directory->endpoints();
     const auto endpoint = std::find_if(endpoints.begin(), endpoints.end(),
         [&target](const RegisteredEndpoint& known) { return known.id == target.endpoint; });
     if (endpoint == endpoints.end())
