--- a/src/Fleet/EntryDaemon.cpp
+++ b/src/Fleet/EntryDaemon.cpp
@@ -27,6 +27,9 @@
 namespace asio = boost::asio;
 namespace http = boost::beast::http;
 
+// Duration of a lease on primaries. It is the longest time by which VMs that do not answer delay a promotion.
+static constexpr Duration primaryLeaseDuration = std::chrono::milliseconds(1500);
+
 // Interval at which a stopping VM checks whether all sessions have ended.
 static constexpr auto sessionCheckInterval = std::chrono::milliseconds(50);
 
@@ -213,6 +216,23 @@
         });
     }
 
+    void startPrimaryLease(std::vector<PrimaryRevocation> stored) override
+    {
+        asio::post(
+            this->trafficContext, [this, stored = std::move(stored)] { this->service.primaryLease().start(stored); });
+    }
+
+    void revokePrimary(const RevokePrimary& effect, std::function<void(PrimaryRevocationFinished)> callback) override
+    {
+        asio::post(this->trafficContext, [this, effect, callback = std::move(callback)] {
+            this->service.primaryLease().revoke(
+                effect.revocation, effect.members, [this, effect, callback](bool complete) {
+                    this->postToControl(
+                        callback, PrimaryRevocationFinished { effect.revocation.group, effect.attempt, complete });
+                });
+        });
+    }
+
     void stepDown(const StepDownPrimary& effect, std::function<void(StepDownAnswered)> callback) override
     {
         asio::post(this->trafficContext, [this, effect, callback = std::move(callback)] {
@@ -239,6 +259,11 @@
         });
     }
 
+    void primaryRevoked(const PrimaryRevocation& revocation) override
+    {
+        asio::post(this->controlContext, [this, revocation] { this->control.onPrimaryRevoked(revocation); });
+    }
+
     void promotionNoticeReceived(const GroupId& group) override
     {
         asio::post(this->controlContext,
@@ -256,6 +281,8 @@
         service.limitWindow = settings.limitWindow;
         service.limitTolerance = settings.limitTolerance;
         service.limitSlack = settings.limitSlack;
+        if (!settings.endpointsAreFenced)
+            service.primaryLease.duration = primaryLeaseDuration;
         service.drainLimit = std::max(settings.endpointDrainTime - drainMargin, settings.endpointDrainTime / 2);
         return service;
     }
@@ -265,6 +292,8 @@
         FleetControlSettings control;
         control.self = { settings.vm, settings.dataCentre, settings.peerAddress, settings.processorMillis };
         control.runId = settings.runId;
+        if (!settings.endpointsAreFenced)
+            control.promotion.primaryLease = primaryLeaseDuration;
         control.seed = stableHash(settings.vm.str() + settings.runId);
         return control;
     }
--- a/src/Fleet/EntryDaemon.h
+++ b/src/Fleet/EntryDaemon.h
@@ -44,6 +44,8 @@
     uint32_t limitSlack = 0; ///< number of requests by which a window may exceed the limit in addition
     /// Time for which a draining endpoint may still receive statements.
     std::chrono::milliseconds endpointDrainTime { 7000 };
+    /// True if endpoints give up the lead by themselves when another one is promoted.
+    bool endpointsAreFenced = true;
     VmId vm;
     DataCentre dataCentre;
     uint32_t processorMillis = 1000; ///< processor share of this VM in 1/1000 of a core
--- a/src/Fleet/FleetControl.cpp
+++ b/src/Fleet/FleetControl.cpp
@@ -9,6 +9,9 @@
 
 namespace Lavendervane {
 
+// Delay before the stored revocations are read again after a failure.
+static constexpr Duration storedRevocationsRetryDelay = std::chrono::milliseconds(300);
+
 // Length of the random key with which this process computes digests of callers' keys.
 static constexpr size_t digestKeyBytes = 32;
 
@@ -236,6 +239,13 @@
             write->transaction, [answer, group = write->group, attempt = write->attempt](TableReply reply) {
                 answer(LeaseWriteAnswered { group, attempt, std::move(reply) });
             });
+    } else if (const auto* fleet = std::get_if<ReadFleet>(&effect)) {
+        this->table.readRow(
+            ShareLeaseManager::ledgerKey(), [answer, group = fleet->group, attempt = fleet->attempt](TableReply reply) {
+                answer(FleetReadAnswered { group, attempt, std::move(reply) });
+            });
+    } else if (const auto* revoke = std::get_if<RevokePrimary>(&effect)) {
+        this->traffic.revokePrimary(*revoke, answer);
     } else if (const auto* query = std::get_if<QueryEndpointStatuses>(&effect)) {
         this->traffic.queryStatuses(*query, answer);
     } else if (const auto* stepDown = std::get_if<StepDownPrimary>(&effect)) {
@@ -266,6 +276,12 @@
     for (const FleetMember& peer : vms)
         change.vms.push_back(peer.vm);
     this->handlePromotionEvent(change);
+    if (!this->hasJoinedFleet
+        && std::find(change.vms.begin(), change.vms.end(), this->settings.self.vm) != change.vms.end()) {
+        this->hasJoinedFleet = true;
+        if (this->settings.promotion.primaryLease > Duration {})
+            this->readStoredRevocations();
+    }
     const auto own = std::find(change.vms.begin(), change.vms.end(), this->settings.self.vm);
     const FleetPosition now { static_cast<uint32_t>(own - change.vms.begin()),
         static_cast<uint32_t>(change.vms.size()) };
@@ -275,6 +291,41 @@
     this->publishDirectory();
 }
 
+// A promotion stores its revocation before it reads the ledger, so a VM that reads the revocations after it has been
+// listed there misses none.
+void FleetControl::readStoredRevocations()
+{
+    this->table.readRows(
+        PromotionCoordinator::leaseKeyPrefix, [this, guard = std::weak_ptr<int>(this->lifetime)](TableReply reply) {
+            if (guard.expired())
+                return;
+            if (reply.result.status != TableStatus::Done) {
+                this->log.write("stored_revocations_not_read", { { "reason", reply.reason } });
+                this->timers.schedule(this->timers.now() + storedRevocationsRetryDelay, [this, guard] {
+                    if (!guard.expired())
+                        this->readStoredRevocations();
+                });
+                return;
+            }
+            std::vector<PrimaryRevocation> stored;
+            for (const TableRow& row : reply.result.rows) {
+                if (const auto revocation = PromotionCoordinator::storedRevocation(row))
+                    stored.push_back(*revocation);
+            }
+            this->log.write("stored_revocations_read", { { "count", std::to_string(stored.size()) } });
+            this->traffic.startPrimaryLease(std::move(stored));
+        });
+}
+
+void FleetControl::onPrimaryRevoked(const PrimaryRevocation& revocation)
+{
+    this->log.write("primary_revoked",
+        { { "group", revocation.group.str() }, { "endpoint", revocation.endpoint.str() },
+            { "number", std::to_string(revocation.number) } });
+    this->handlePromotionEvent(PrimaryRevocationLearnt { revocation });
+    this->publishDirectory();
+}
+
 void FleetControl::stop(std::function<void()> done)
 {
     this->onStopped = std::move(done);
--- a/src/Fleet/FleetControl.h
+++ b/src/Fleet/FleetControl.h
@@ -41,9 +41,13 @@
     virtual void setPeers(std::vector<FleetMember>) = 0;
     virtual void announcePromotion(const AnnouncePromotion&) = 0;
 
+    /// Starts to obtain a lease on primaries. Called once, after the VM has joined the fleet.
+    virtual void startPrimaryLease(std::vector<PrimaryRevocation> stored) = 0;
+
     // The callbacks of these functions are called on the control thread.
     virtual void pollReachability(const PollReachability&, std::function<void(ReachabilityPolled)>) = 0;
     virtual void queryStatuses(const QueryEndpointStatuses&, std::function<void(EndpointStatusesReceived)>) = 0;
+    virtual void revokePrimary(const RevokePrimary&, std::function<void(PrimaryRevocationFinished)>) = 0;
     virtual void stepDown(const StepDownPrimary&, std::function<void(StepDownAnswered)>) = 0;
 };
 
@@ -68,6 +72,9 @@
     /// True once the VM has a configuration, a registry and a share of the limits, so that it can serve callers.
     bool ready() const { return this->configuration && this->hasRegistry && this->hasShares; }
 
+    /// The traffic thread has learnt of a revocation.
+    void onPrimaryRevoked(const PrimaryRevocation&);
+
     /// Passes an event to the promotion coordinator and executes the resulting effects.
     void handlePromotionEvent(const PromotionEvent&);
 
@@ -78,6 +85,7 @@
     void publishDirectory();
     void dropLapsedEndpoints();
     void handleFleetChange(const std::vector<FleetMember>&);
+    void readStoredRevocations();
     void executeShareEffects(std::vector<ShareEffect>);
     void executePromotionEffect(PromotionEffect&);
     void onShareTimer();
@@ -98,6 +106,7 @@
     std::map<EndpointId, Instant> lapseTimes;
     bool hasRegistry = false;
     bool hasShares = false;
+    bool hasJoinedFleet = false; ///< true once the ledger lists this VM
     FleetPosition position;
     uint64_t directoryNumber = 0;
     std::optional<Timers::Handle> shareTimer;
--- a/src/Peers/PeerMessages.cpp
+++ b/src/Peers/PeerMessages.cpp
@@ -16,8 +16,27 @@
     ReachabilityRequestKind = 3,
     ReachabilityReplyKind = 4,
     PromotionNoticeKind = 5,
+    LeaseRequestKind = 6,
+    LeaseReplyKind = 7,
+    ConfirmationRequestKind = 8,
+    ConfirmationReplyKind = 9,
+    RevocationRequestKind = 10,
+    RevocationReplyKind = 11,
 };
 
+Json encodeRevocation(const PrimaryRevocation& revocation)
+{
+    return Json::array({ revocation.group.str(), revocation.endpoint.str(), revocation.number });
+}
+
+Json encodeRevocations(const std::vector<PrimaryRevocation>& revocations)
+{
+    Json list = Json::array();
+    for (const PrimaryRevocation& revocation : revocations)
+        list.push_back(encodeRevocation(revocation));
+    return list;
+}
+
 struct Encoder {
     Json operator()(const TokenRequest& message) const
     {
@@ -40,6 +59,25 @@
     {
         return { PromotionNoticeKind, message.group.str(), message.endpoint.str(), message.expectedInMs };
     }
+    Json operator()(const LeaseRequest& message) const { return { LeaseRequestKind, message.requestId }; }
+    Json operator()(const LeaseReply& message) const
+    {
+        return { LeaseReplyKind, message.requestId, message.confirmed, message.ageMs,
+            encodeRevocations(message.revocations) };
+    }
+    Json operator()(const ConfirmationRequest& message) const { return { ConfirmationRequestKind, message.requestId }; }
+    Json operator()(const ConfirmationReply& message) const
+    {
+        return { ConfirmationReplyKind, message.requestId, message.fleetSize, encodeRevocations(message.revocations) };
+    }
+    Json operator()(const RevocationRequest& message) const
+    {
+        return { RevocationRequestKind, message.requestId, encodeRevocation(message.revocation) };
+    }
+    Json operator()(const RevocationReply& message) const
+    {
+        return { RevocationReplyKind, message.requestId, message.fleetSize };
+    }
 };
 
 } // namespace
@@ -48,6 +86,21 @@
 
 static uint64_t numberAt(const Json& json, size_t index) { return json.at(index).get<uint64_t>(); }
 
+static PrimaryRevocation revocationAt(const Json& json, size_t index)
+{
+    const Json& entry = json.at(index);
+    return { GroupId(stringAt(entry, 0)), EndpointId(stringAt(entry, 1)), numberAt(entry, 2) };
+}
+
+static std::vector<PrimaryRevocation> revocationsAt(const Json& json, size_t index)
+{
+    const Json& list = json.at(index);
+    std::vector<PrimaryRevocation> revocations;
+    for (size_t entry = 0; entry < list.size(); ++entry)
+        revocations.push_back(revocationAt(list, entry));
+    return revocations;
+}
+
 static std::optional<PeerMessage> decode(const Json& json)
 {
     switch (numberAt(json, 0)) {
@@ -66,6 +119,18 @@
     }
     case PromotionNoticeKind:
         return PromotionNotice { GroupId(stringAt(json, 1)), EndpointId(stringAt(json, 2)), numberAt(json, 3) };
+    case LeaseRequestKind:
+        return LeaseRequest { numberAt(json, 1) };
+    case LeaseReplyKind:
+        return LeaseReply { numberAt(json, 1), json.at(2).get<bool>(), numberAt(json, 3), revocationsAt(json, 4) };
+    case ConfirmationRequestKind:
+        return ConfirmationRequest { numberAt(json, 1) };
+    case ConfirmationReplyKind:
+        return ConfirmationReply { numberAt(json, 1), numberAt(json, 2), revocationsAt(json, 3) };
+    case RevocationRequestKind:
+        return RevocationRequest { numberAt(json, 1), revocationAt(json, 2) };
+    case RevocationReplyKind:
+        return RevocationReply { numberAt(json, 1), numberAt(json, 2) };
     default:
         return std::nullopt; // message of a newer program version
     }
--- a/src/Peers/PeerMessages.h
+++ b/src/Peers/PeerMessages.h
@@ -1,12 +1,14 @@
 #pragma once
 
 #include "Core/Identifiers.h"
+#include "PrimaryLease/PrimaryRevocation.h"
 
 #include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
 #include <variant>
+#include <vector>
 
 namespace Lavendervane {
 
@@ -62,7 +64,57 @@
     friend bool operator==(const PromotionNotice&, const PromotionNotice&) = default;
 };
 
-using PeerMessage = std::variant<TokenRequest, TokenReply, ReachabilityRequest, ReachabilityReply, PromotionNotice>;
+/// Asks the keeper of a data centre for the age of its confirmation that primaries may be used.
+struct LeaseRequest {
+    uint64_t requestId = 0;
+
+    friend bool operator==(const LeaseRequest&, const LeaseRequest&) = default;
+};
+
+/// Answers a LeaseRequest.
+struct LeaseReply {
+    uint64_t requestId = 0;
+    bool confirmed = false; ///< false if the keeper has no confirmation
+    uint64_t ageMs = 0; ///< time since the request on which the confirmation is based was sent
+    std::vector<PrimaryRevocation> revocations; ///< recent revocations known to the keeper
+
+    friend bool operator==(const LeaseReply&, const LeaseReply&) = default;
+};
+
+/// Asks another VM which revocations it knows.
+struct ConfirmationRequest {
+    uint64_t requestId = 0;
+
+    friend bool operator==(const ConfirmationRequest&, const ConfirmationRequest&) = default;
+};
+
+/// Answers a ConfirmationRequest.
+struct ConfirmationReply {
+    uint64_t requestId = 0;
+    uint64_t fleetSize = 0; ///< number of VMs that the sender knows
+    std::vector<PrimaryRevocation> revocations; ///< recent revocations known to the sender
+
+    friend bool operator==(const ConfirmationReply&, const ConfirmationReply&) = default;
+};
+
+/// Tells another VM to stop using an endpoint as a primary.
+struct RevocationRequest {
+    uint64_t requestId = 0;
+    PrimaryRevocation revocation;
+
+    friend bool operator==(const RevocationRequest&, const RevocationRequest&) = default;
+};
+
+/// Confirms that the sender does not use the revoked primary any more.
+struct RevocationReply {
+    uint64_t requestId = 0;
+    uint64_t fleetSize = 0; ///< number of VMs that the sender knows
+
+    friend bool operator==(const RevocationReply&, const RevocationReply&) = default;
+};
+
+using PeerMessage = std::variant<TokenRequest, TokenReply, ReachabilityRequest, ReachabilityReply, PromotionNotice,
+    LeaseRequest, LeaseReply, ConfirmationRequest, ConfirmationReply, RevocationRequest, RevocationReply>;
 
 /// Encodes a message in CBOR (RFC 8949). The result is shorter than 1,400 bytes.
 std::string encodePeerMessage(const PeerMessage&);
--- a/src/Promotion/PromotionCoordinator.cpp
+++ b/src/Promotion/PromotionCoordinator.cpp
@@ -1,5 +1,6 @@
 #include "Promotion/PromotionCoordinator.h"
 
+#include "Core/Error.h"
 #include "Core/Rendezvous.h"
 
 #include <nlohmann/json.hpp>
@@ -19,7 +20,19 @@
 {
 }
 
-std::string PromotionCoordinator::leaseKey(const GroupId& group) { return "promotion/" + group.str(); }
+std::string PromotionCoordinator::leaseKey(const GroupId& group) { return leaseKeyPrefix + group.str(); }
+
+std::optional<PrimaryRevocation> PromotionCoordinator::storedRevocation(const TableRow& row)
+{
+    const Json lease = Json::parse(row.value, nullptr, false);
+    if (!row.revision || !row.key.starts_with(leaseKeyPrefix) || !lease.is_object())
+        return std::nullopt;
+    const auto endpoint = lease.find("revoked");
+    if (endpoint == lease.end() || !endpoint->is_string())
+        return std::nullopt;
+    const std::string group = row.key.substr(std::char_traits<char>::length(leaseKeyPrefix));
+    return PrimaryRevocation { GroupId(group), EndpointId(endpoint->get<std::string>()), row.revision };
+}
 
 std::vector<PromotionEffect> PromotionCoordinator::handle(const PromotionEvent& event, Instant now)
 {
@@ -45,6 +58,12 @@
         return this->handleOrderAnswer(*answered, now);
     if (const auto* notice = std::get_if<PromotionNoticeReceived>(&event))
         return this->handleNotice(*notice, now);
+    if (const auto* fleet = std::get_if<FleetReadAnswered>(&event))
+        return this->handleFleetRead(*fleet, now);
+    if (const auto* finished = std::get_if<PrimaryRevocationFinished>(&event))
+        return this->handleRevocationFinished(*finished, now);
+    if (const auto* learnt = std::get_if<PrimaryRevocationLearnt>(&event))
+        return this->handleRevocationLearnt(*learnt, now);
     return this->handleTimer(std::get<PromotionTimerFired>(event), now);
 }
 
@@ -72,18 +91,19 @@
 }
 
 // Returns the endpoint that most recently registered as primary. An old primary may still be registered as primary
-// because it has not noticed its replacement.
+// because it has not noticed its replacement, and it may register again after its entry has expired.
 template <typename Members>
-static EndpointId newestPrimary(const Members& before, const Members& after, const EndpointId& current)
+static EndpointId newestPrimary(
+    const Members& before, const Members& after, const EndpointId& current, const EndpointId& revoked)
 {
     EndpointId primary;
     for (const auto& [id, member] : after) {
         if (!member.isPrimary)
             continue;
         const auto known = before.find(id);
-        if (known == before.end() || !known->second.isPrimary)
+        if (id != revoked && (known == before.end() || !known->second.isPrimary))
             return id;
-        if (primary.empty() || id == current)
+        if (primary.empty() || primary == revoked || (id == current && id != revoked))
             primary = id;
     }
     return primary;
@@ -110,14 +130,17 @@
         group.synchronousReplicas = synchronous == registry.synchronousReplicas.end() ? 0 : synchronous->second;
         if (group.members == members)
             continue;
-        const EndpointId primary = newestPrimary(group.members, members, group.primary);
+        const EndpointId primary = newestPrimary(group.members, members, group.primary, group.revokedPrimary);
         group.members = std::move(members);
         if (primary != group.primary) {
             if (group.phase == Phase::AwaitingNewPrimary && primary == group.promotedEndpoint)
                 this->lastPromotionTime = now - group.orderedAt;
             effects.emplace_back(LogPromotionStep { name, "primary_changed", primary.str() });
             group.primary = primary;
+            if (!primary.empty())
+                group.lastPrimary = primary;
             group.primaryUnreachable = false;
+            group.hasUnconfirmedOrder = false;
             // The registry shows no primary between a step-down and the promotion; that must not end the attempt.
             if (!primary.empty()) {
                 group.phase = Phase::Idle;
@@ -139,7 +162,8 @@
     if (group.primary.empty())
         return true;
     const auto primary = group.members.find(group.primary);
-    return group.primaryUnreachable || (primary != group.members.end() && primary->second.isDraining);
+    return group.primaryUnreachable || group.primary == group.revokedPrimary
+        || (primary != group.members.end() && primary->second.isDraining);
 }
 
 std::vector<PromotionEffect> PromotionCoordinator::scheduleIfNeeded(Group& group, Instant now)
@@ -237,9 +261,15 @@
     group->leaseRevision = row.revision;
     TableTransaction transaction;
     transaction.conditions.push_back({ leaseKey(group->name), row.revision });
-    transaction.writes.push_back({ leaseKey(group->name),
-        Json { { "holder", this->self.str() }, { "run", this->runId }, { "until", tableNow + this->settings.leaseMs } }
-            .dump() });
+    // A revocation delays the order by the duration of the VMs' leases.
+    const auto lifetime = std::chrono::milliseconds(this->settings.leaseMs)
+        + std::chrono::ceil<std::chrono::milliseconds>(this->settings.primaryLease);
+    group->leaseExpiry = now + lifetime - event.reply.clock.uncertainty();
+    Json lease { { "holder", this->self.str() }, { "run", this->runId },
+        { "until", tableNow + static_cast<uint64_t>(lifetime.count()) } };
+    if (this->requiresRevocation())
+        lease["revoked"] = this->endpointToRevoke(*group).str();
+    transaction.writes.push_back({ leaseKey(group->name), lease.dump() });
     return { WriteLease { group->name, group->attempt, std::move(transaction) } };
 }
 
@@ -252,10 +282,85 @@
         return this->retryLater(*group, now, "writing the promotion lease failed: " + event.reply.reason);
     // Every write of the lease increases its revision, so a later holder always has a higher fencing token.
     group->token = event.reply.revision;
+    if (this->requiresRevocation()) {
+        group->phase = Phase::ReadingFleet;
+        return { ReadFleet { group->name, group->attempt } };
+    }
     group->phase = Phase::QueryingStatuses;
     return this->queryStatuses(*group);
 }
 
+// A leaving primary is told to step down and refuses work itself. One that the registry shows as a replica does so too.
+// Otherwise the old primary may go on, even if the registry does not list it any more.
+EndpointId PromotionCoordinator::endpointToRevoke(const Group& group) const
+{
+    if (group.oldPrimaryIsLeaving)
+        return {};
+    if (!group.primary.empty())
+        return group.primary;
+    const auto last = group.members.find(group.lastPrimary);
+    return last != group.members.end() && !last->second.isPrimary ? EndpointId() : group.lastPrimary;
+}
+
+// The ledger is read after the revocation has been stored with the lease. A VM that is not listed yet reads the stored
+// revocations before it uses any primary.
+std::vector<PromotionEffect> PromotionCoordinator::handleFleetRead(const FleetReadAnswered& event, Instant now)
+{
+    Group* group = this->findInPhase(event.group, event.attempt, Phase::ReadingFleet);
+    if (!group)
+        return {};
+    if (event.reply.result.status != TableStatus::Done || event.reply.result.rows.empty())
+        return this->retryLater(*group, now, "reading the list of VMs failed: " + event.reply.reason);
+    std::vector<FleetMember> members;
+    try {
+        members = ShareLedger::parse(event.reply.result.rows.front().value).members();
+    } catch (const Error& error) {
+        return this->retryLater(*group, now, std::string("the list of VMs is unreadable: ") + error.what());
+    }
+    const EndpointId revoked = this->endpointToRevoke(*group);
+    group->phase = Phase::RevokingPrimary;
+    Effects effects { LogPromotionStep { group->name, "revocation_started", revoked.str() },
+        RevokePrimary { group->attempt, { group->name, revoked, group->token }, std::move(members) } };
+    if (!revoked.empty())
+        return effects;
+    // Nothing has to be waited for; the message only replaces earlier revocations of the group.
+    group->phase = Phase::QueryingStatuses;
+    for (auto& effect : this->queryStatuses(*group))
+        effects.push_back(std::move(effect));
+    return effects;
+}
+
+std::vector<PromotionEffect> PromotionCoordinator::handleRevocationFinished(
+    const PrimaryRevocationFinished& event, Instant now)
+{
+    Group* group = this->findInPhase(event.group, event.attempt, Phase::RevokingPrimary);
+    if (!group)
+        return {};
+    if (!event.complete)
+        return this->retryLater(*group, now, "no majority of the VMs has confirmed the revocation of the primary");
+    group->phase = Phase::QueryingStatuses;
+    Effects effects = this->queryStatuses(*group);
+    effects.insert(effects.begin(), LogPromotionStep { group->name, "revocation_complete", group->oldPrimary.str() });
+    return effects;
+}
+
+std::vector<PromotionEffect> PromotionCoordinator::handleRevocationLearnt(
+    const PrimaryRevocationLearnt& event, Instant now)
+{
+    Group& group = this->groups[event.revocation.group];
+    group.name = event.revocation.group;
+    group.revokedPrimary = event.revocation.endpoint;
+    if (group.revokedPrimary.empty() || group.primary != group.revokedPrimary)
+        return {};
+    const EndpointId other = newestPrimary(group.members, group.members, group.primary, group.revokedPrimary);
+    if (other == group.primary)
+        return this->waitForOtherVm(group, now);
+    group.primary = other;
+    group.lastPrimary = other;
+    group.primaryUnreachable = false;
+    return { LogPromotionStep { group.name, "primary_changed", other.str() } };
+}
+
 std::vector<PromotionEffect> PromotionCoordinator::queryStatuses(Group& group)
 {
     std::vector<EndpointId> endpoints;
@@ -289,6 +394,16 @@
     return best;
 }
 
+// An order without an answer may still be executed after a later one, and an unfenced platform does not refuse it then.
+// Ordering the same endpoint again makes the late execution harmless.
+std::optional<EndpointId> PromotionCoordinator::chooseReplica(
+    const Group& group, const std::map<EndpointId, EndpointStatus>& statuses) const
+{
+    if (this->requiresRevocation() && group.hasUnconfirmedOrder && statuses.count(group.promotedEndpoint))
+        return group.promotedEndpoint;
+    return mostAdvanced(statuses);
+}
+
 std::vector<PromotionEffect> PromotionCoordinator::handleStatuses(const EndpointStatusesReceived& event, Instant now)
 {
     const auto found = this->groups.find(event.group);
@@ -304,7 +419,7 @@
         primary = old->second;
         replicas.erase(old);
     }
-    const auto best = mostAdvanced(replicas);
+    const auto best = this->chooseReplica(group, replicas);
     if (!best)
         return this->retryLater(group, now, "no replica answered the status query");
     if (group.phase == Phase::QueryingStatuses && group.oldPrimaryIsLeaving && primary
@@ -338,6 +453,8 @@
 
 std::vector<PromotionEffect> PromotionCoordinator::orderPromotion(Group& group, const EndpointId& endpoint, Instant now)
 {
+    if (now >= group.leaseExpiry)
+        return this->retryLater(group, now, "the promotion lease expired before the order");
     group.phase = Phase::Ordering;
     group.promotedEndpoint = endpoint;
     group.orderedAt = now;
@@ -351,6 +468,7 @@
     Group* group = this->findInPhase(event.group, event.attempt, Phase::Ordering);
     if (!group)
         return {};
+    group->hasUnconfirmedOrder = event.status == PromotionOrderStatus::Unknown;
     if (event.status == PromotionOrderStatus::Refused || event.status == PromotionOrderStatus::NotCarriedOut)
         return this->retryLater(*group, now, "the promotion order was not accepted");
     // An order without an answer may still be executed, so the next attempt waits until the new primary would have
@@ -369,12 +487,17 @@
     const auto found = this->groups.find(event.group);
     if (found == this->groups.end())
         return {};
-    Group& group = found->second;
+    return this->waitForOtherVm(found->second, now);
+}
+
+std::vector<PromotionEffect> PromotionCoordinator::waitForOtherVm(Group& group, Instant now)
+{
     if (group.phase != Phase::Idle && group.phase != Phase::WaitingForRank)
         return {};
     group.phase = Phase::WaitingForRank;
     ++group.attempt;
-    return this->setTimer(group, now + this->settings.newPrimaryTimeout + this->rankDelay(group.name));
+    return this->setTimer(
+        group, now + this->settings.newPrimaryTimeout + this->settings.primaryLease + this->rankDelay(group.name));
 }
 
 std::vector<PromotionEffect> PromotionCoordinator::retryLater(Group& group, Instant now, const std::string& reason)
--- a/src/Promotion/PromotionCoordinator.h
+++ b/src/Promotion/PromotionCoordinator.h
@@ -23,6 +23,9 @@
     /// Lifetime of a lease by the table's clock. Querying statuses, ordering a promotion and the appearance of the new
     /// primary together take less than 2 s.
     uint64_t leaseMs = 3000;
+    /// Duration of the VMs' leases on primaries. Zero if the endpoints give up the lead by themselves when another one
+    /// is promoted; a promotion then needs no revocation.
+    Duration primaryLease {};
     /// Expected duration of a promotion until this VM has timed one.
     Duration assumedPromotionTime = std::chrono::milliseconds(1000);
     /// Time for the new primary to appear in the registry before the order is considered lost.
@@ -51,6 +54,12 @@
     /// Returns the key of the table row that holds the lease of a group.
     static std::string leaseKey(const GroupId&);
 
+    /// Prefix of the keys of all such rows.
+    static constexpr const char* leaseKeyPrefix = "promotion/";
+
+    /// Returns the revocation that a row records; nothing if the row is unreadable or records none.
+    static std::optional<PrimaryRevocation> storedRevocation(const TableRow&);
+
 private:
     using Effects = std::vector<PromotionEffect>;
 
@@ -60,6 +69,8 @@
         PollingPeers,
         ReadingLease,
         WritingLease,
+        ReadingFleet,
+        RevokingPrimary,
         QueryingStatuses,
         SteppingDown,
         CatchingUp,
@@ -78,6 +89,8 @@
         GroupId name;
         std::map<EndpointId, Member> members;
         EndpointId primary; ///< empty if the registry lists no primary
+        EndpointId lastPrimary; ///< last known primary, which may be running although the registry does not list it
+        EndpointId revokedPrimary; ///< must not be used as the primary any more; empty if there is none
         uint32_t synchronousReplicas = 0;
         bool primaryUnreachable = false; ///< this VM cannot reach the primary
         Phase phase = Phase::Idle;
@@ -90,6 +103,8 @@
         EndpointId promotedEndpoint;
         Instant orderedAt {};
         uint64_t leaseRevision = 0;
+        Instant leaseExpiry {}; ///< this VM must not order a promotion later
+        bool hasUnconfirmedOrder = false; ///< an order for `promotedEndpoint` may still be executed
     };
 
     Effects handleRegistryUpdate(const RegistryUpdated&, Instant now);
@@ -98,12 +113,19 @@
     Effects handleReachabilityPoll(const ReachabilityPolled&, Instant now);
     Effects handleLeaseRead(const LeaseReadAnswered&, Instant now);
     Effects handleLeaseWrite(const LeaseWriteAnswered&, Instant now);
+    Effects handleFleetRead(const FleetReadAnswered&, Instant now);
+    Effects handleRevocationFinished(const PrimaryRevocationFinished&, Instant now);
+    Effects handleRevocationLearnt(const PrimaryRevocationLearnt&, Instant now);
     Effects handleStatuses(const EndpointStatusesReceived&, Instant now);
     Effects handleStepDownAnswer(const StepDownAnswered&, Instant now);
     Effects handleOrderAnswer(const PromotionOrderAnswered&, Instant now);
     Effects handleNotice(const PromotionNoticeReceived&, Instant now);
 
     bool needsPromotion(const Group&) const;
+    bool requiresRevocation() const { return this->settings.primaryLease > Duration {}; }
+    EndpointId endpointToRevoke(const Group&) const;
+    std::optional<EndpointId> chooseReplica(const Group&, const std::map<EndpointId, EndpointStatus>&) const;
+    Effects waitForOtherVm(Group&, Instant now);
     Effects scheduleIfNeeded(Group&, Instant now);
     Effects startAttempt(Group&, Instant now);
     Effects queryStatuses(Group&);
--- a/src/Promotion/PromotionMessages.h
+++ b/src/Promotion/PromotionMessages.h
@@ -4,6 +4,8 @@
 #include "Core/Instant.h"
 #include "Fleet/Directory.h"
 #include "Fleet/TableStore.h"
+#include "Limits/ShareLedger.h"
+#include "PrimaryLease/PrimaryRevocation.h"
 #include "Statements/StatementAnswer.h"
 
 #include <cstdint>
@@ -60,6 +62,25 @@
     TableReply reply;
 };
 
+/// Result of ReadFleet: the row of the share ledger, which lists all VMs that may hold a lease on primaries.
+struct FleetReadAnswered {
+    GroupId group;
+    uint64_t attempt = 0;
+    TableReply reply;
+};
+
+/// Result of RevokePrimary.
+struct PrimaryRevocationFinished {
+    GroupId group;
+    uint64_t attempt = 0;
+    bool complete = false; ///< true if no VM can use the old primary any more
+};
+
+/// This VM has learnt of a revocation, by another VM or from the platform's table.
+struct PrimaryRevocationLearnt {
+    PrimaryRevocation revocation;
+};
+
 /// Result of QueryEndpointStatuses.
 struct EndpointStatusesReceived {
     GroupId group;
@@ -100,9 +121,10 @@
     uint64_t attempt = 0;
 };
 
-using PromotionEvent = std::variant<RegistryUpdated, VmsChanged, EndpointReachabilityChanged, ReachabilityPolled,
-    LeaseReadAnswered, LeaseWriteAnswered, EndpointStatusesReceived, StepDownAnswered, PromotionOrderAnswered,
-    PromotionNoticeReceived, PromotionTimerFired>;
+using PromotionEvent
+    = std::variant<RegistryUpdated, VmsChanged, EndpointReachabilityChanged, ReachabilityPolled, LeaseReadAnswered,
+        LeaseWriteAnswered, EndpointStatusesReceived, StepDownAnswered, PromotionOrderAnswered, PromotionNoticeReceived,
+        PromotionTimerFired, FleetReadAnswered, PrimaryRevocationFinished, PrimaryRevocationLearnt>;
 
 // Effects.
 
@@ -127,6 +149,19 @@
     TableTransaction transaction;
 };
 
+/// Reads the share ledger.
+struct ReadFleet {
+    GroupId group;
+    uint64_t attempt = 0;
+};
+
+/// Revokes the permission of all VMs to use the old primary.
+struct RevokePrimary {
+    uint64_t attempt = 0;
+    PrimaryRevocation revocation;
+    std::vector<FleetMember> members;
+};
+
 /// Queries role, term and log position of endpoints.
 struct QueryEndpointStatuses {
     GroupId group;
@@ -172,7 +207,7 @@
 };
 
 using PromotionEffect = std::variant<PollReachability, ReadLease, WriteLease, QueryEndpointStatuses, StepDownPrimary,
-    OrderPromotion, AnnouncePromotion, SetPromotionTimer, LogPromotionStep>;
+    OrderPromotion, AnnouncePromotion, SetPromotionTimer, LogPromotionStep, ReadFleet, RevokePrimary>;
 
 /// Client for the platform's promotion orders.
 class PromotionOrders {
--- a/src/Statements/CallerOperation.cpp
+++ b/src/Statements/CallerOperation.cpp
@@ -146,11 +146,16 @@
     // that may write and every statement in it. It also refuses to report its log position then.
     running.usesProxyTransaction = !running.writes && !running.startsTransaction;
     auto primary = group.primary();
-    if (!primary || !primary->isReachable())
+    if (!primary || !primary->isReachable() || !this->mayUsePrimary(running.route, primary->endpoint().id))
         return nullptr;
     return primary;
 }
 
+bool CallerSession::mayUsePrimary(const SessionRoute& route, const EndpointId& endpoint) const
+{
+    return this->service.primaryLease().mayUse(route.group, endpoint);
+}
+
 void CallerSession::waitForPrimary(GroupTraffic& group)
 {
     Operation& running = *this->operation;
@@ -192,6 +197,14 @@
         this->retry(AnswerCode::Busy, result.reason, {});
         return;
     }
+    // The lease may have expired while the operation waited for the connection. A read that requires a position is
+    // correct at any endpoint.
+    if (!running.statement.requiredPosition && !this->mayUsePrimary(running.route, running.pool->endpoint().id)) {
+        if (result.connection->pool())
+            result.connection->pool()->release(result.connection);
+        this->retry(AnswerCode::Busy, "the endpoint may not be used as the primary any more", {});
+        return;
+    }
     if (running.startsTransaction)
         this->sendBegin(result.connection);
     else if (running.usesProxyTransaction)
@@ -281,6 +294,16 @@
     const EndpointAnswer reply = std::move(result.answers.back());
     if (reply.code == AnswerCode::UnknownPrepared)
         connection->forgetPrepared();
+    if (reply.code == AnswerCode::Done && running.writes
+        && !this->mayUsePrimary(running.route, running.pool->endpoint().id)) {
+        // Another endpoint may have been promoted before the commit.
+        if (connection->pool())
+            connection->pool()->release(connection);
+        running.mayHaveRun = true;
+        const std::string reason = "the lease on the primary expired before the answer";
+        this->finishOperation({ AnswerCode::InDoubt, "", reason }, reason);
+        return;
+    }
     if (reply.code == AnswerCode::Done && running.writes) {
         this->recordPosition(running.route, sent, reply);
         if (reply.position)
--- a/src/Statements/CallerSession.h
+++ b/src/Statements/CallerSession.h
@@ -97,6 +97,7 @@
     // Attempts to run the current operation.
     void startAttempt();
     std::shared_ptr<EndpointPool> chooseEndpoint(GroupTraffic&);
+    bool mayUsePrimary(const SessionRoute&, const EndpointId&) const;
     void waitForPrimary(GroupTraffic&);
     void handleAcquireResult(const AcquireResult&);
     void sendSingleStatement(const std::shared_ptr<PooledConnection>&);
--- a/src/Statements/CallerTransaction.cpp
+++ b/src/Statements/CallerTransaction.cpp
@@ -151,6 +151,11 @@
         this->refuse(AnswerCode::Aborted, "the transaction has failed");
         return;
     }
+    if (open.wrote && !this->mayUsePrimary(open.route, open.endpoint)) {
+        this->endTransaction(true);
+        this->refuse(AnswerCode::Aborted, "the lease on the primary expired before the commit");
+        return;
+    }
     const Instant sent = this->service.timers().now();
     const auto connection = open.connection;
     connection->exchange({ next }, this->currentArrival + open.route.statementTimeout,
@@ -166,6 +171,7 @@
 {
     const bool wrote = this->transaction->wrote;
     const SessionRoute route = this->transaction->route;
+    const EndpointId endpoint = this->transaction->endpoint;
     if (!result.hasAnswers()) {
         this->endTransaction(false);
         const std::string reason = result.timedOut ? "no answer to the commit in time" : "the connection broke";
@@ -176,6 +182,12 @@
         return;
     }
     EndpointAnswer& reply = result.answers.back();
+    if (reply.code == AnswerCode::Done && wrote && !this->mayUsePrimary(route, endpoint)) {
+        // Another endpoint may have been promoted before the commit.
+        this->endTransaction(reply.state != TransactionState::Idle);
+        this->refuse(AnswerCode::InDoubt, "the lease on the primary expired before the answer to the commit");
+        return;
+    }
     if (reply.code == AnswerCode::Done && wrote) {
         this->recordPosition(route, sent, reply);
         if (reply.position)
--- a/src/Statements/EndpointPool.cpp
+++ b/src/Statements/EndpointPool.cpp
@@ -93,6 +93,14 @@
     this->dispatch();
 }
 
+void EndpointPool::interrupt(const std::string& reason)
+{
+    this->failWaiters(reason);
+    const auto all = this->connections;
+    for (const auto& connection : all)
+        connection->closeWithoutAnswer();
+}
+
 void EndpointPool::retire()
 {
     this->isRetired = true;
--- a/src/Statements/EndpointPool.h
+++ b/src/Statements/EndpointPool.h
@@ -81,6 +81,9 @@
     /// Returns a connection to the pool. It is closed if it has an open transaction or an unanswered statement.
     void release(const std::shared_ptr<PooledConnection>&);
 
+    /// Closes all connections and fails all waits. Unanswered statements may or may not run.
+    void interrupt(const std::string& reason);
+
     /// Closes idle connections and fails all waits. Connections in use are closed when they are released.
     void retire();
 
--- a/src/Statements/StatementService.cpp
+++ b/src/Statements/StatementService.cpp
@@ -21,6 +21,8 @@
           this->options.admission, stableHash(this->options.vm.str()))
     , reachabilityPoll(
           timers, transport, this->options.vm, this->options.reachabilityPoll, stableHash(this->options.vm.str()))
+    , lease(timers, transport, this->options.vm, this->options.dataCentre, this->options.primaryLease,
+          stableHash(this->options.vm.str()), static_cast<PrimaryLeaseListener&>(*this))
     , relay(this->options.vm, timers, connector, relayTransport, static_cast<EndpointObserver&>(*this),
           this->statementIds, log)
 {
@@ -95,10 +97,8 @@
 void StatementService::checkIsolation()
 {
     const Instant now = this->clock.now();
-    const auto unservedGroups = std::count_if(this->groups.begin(), this->groups.end(), [](const auto& entry) {
-        const auto primary = entry.second->primary();
-        return !primary || !primary->isReachable();
-    });
+    const auto unservedGroups = std::count_if(this->groups.begin(), this->groups.end(),
+        [this](const auto& entry) { return !this->canUsePrimary(*entry.second); });
     this->isolationDetector.update(this->groups.size(), static_cast<size_t>(unservedGroups), now);
     if (this->isolationTimer)
         this->clock.cancel(*this->isolationTimer);
@@ -120,6 +120,33 @@
         session->closeIfIdle();
 }
 
+bool StatementService::canUsePrimary(const GroupTraffic& group) const
+{
+    const auto primary = group.primary();
+    return primary && primary->isReachable() && this->lease.mayUse(group.id(), primary->endpoint().id);
+}
+
+void StatementService::primaryLeaseChanged()
+{
+    for (const auto& [name, group] : this->groups) {
+        if (this->canUsePrimary(*group))
+            group->runChangeCallbacks();
+    }
+    this->checkIsolation();
+}
+
+// Statements under way at the revoked endpoint may be committed after another endpoint has been promoted, so their
+// answers must not be passed on.
+void StatementService::primaryRevoked(const PrimaryRevocation& revocation)
+{
+    this->listener.primaryRevoked(revocation);
+    GroupTraffic* group = this->findGroup(revocation.group);
+    const auto pool = group ? group->findPool(revocation.endpoint) : nullptr;
+    if (pool)
+        pool->interrupt("the endpoint is being replaced as the primary");
+    this->checkIsolation();
+}
+
 GroupTraffic* StatementService::findGroup(const GroupId& name)
 {
     const auto found = this->groups.find(name);
@@ -173,6 +200,18 @@
         if (GroupTraffic* group = this->findGroup(notice->group))
             group->primaryExpectedAt = this->clock.now() + std::chrono::milliseconds(notice->expectedInMs);
         this->listener.promotionNoticeReceived(notice->group);
+    } else if (const auto* leaseRequest = std::get_if<LeaseRequest>(&message)) {
+        this->lease.handle(sender, *leaseRequest);
+    } else if (const auto* leaseReply = std::get_if<LeaseReply>(&message)) {
+        this->lease.handle(sender, *leaseReply);
+    } else if (const auto* confirmationRequest = std::get_if<ConfirmationRequest>(&message)) {
+        this->lease.handle(sender, *confirmationRequest);
+    } else if (const auto* confirmationReply = std::get_if<ConfirmationReply>(&message)) {
+        this->lease.handle(sender, *confirmationReply);
+    } else if (const auto* revocationRequest = std::get_if<RevocationRequest>(&message)) {
+        this->lease.handle(sender, *revocationRequest);
+    } else if (const auto* revocationReply = std::get_if<RevocationReply>(&message)) {
+        this->lease.handle(sender, *revocationReply);
     }
 }
 
@@ -180,6 +219,7 @@
 {
     this->requestAdmission.setPeers(vms);
     this->reachabilityPoll.setPeers(vms);
+    this->lease.setMembers(vms);
     this->relay.setMembers(vms);
 }
 
--- a/src/Statements/StatementService.h
+++ b/src/Statements/StatementService.h
@@ -3,6 +3,7 @@
 #include "Fleet/Directory.h"
 #include "Limits/LimitShares.h"
 #include "Peers/PeerTransport.h"
+#include "PrimaryLease/PrimaryLease.h"
 #include "Relay/Relay.h"
 #include "Runtime/Timers.h"
 #include "Statements/CallerLink.h"
@@ -29,6 +30,7 @@
     DataCentre dataCentre;
     VmId vm;
     RequestAdmissionSettings admission;
+    PrimaryLeaseSettings primaryLease;
     /// Length of the windows in which the platform's users count requests. `limitTolerance` and `limitSlack` state by
     /// how much a window may exceed the limit. Only half of the excess is used for admission; the other half allows for
     /// the time between admission and arrival at an endpoint.
@@ -60,12 +62,18 @@
     /// Another VM has ordered a promotion in the group.
     virtual void promotionNoticeReceived(const GroupId&) = 0;
 
+    /// An endpoint must not be used as the primary of its group any more.
+    virtual void primaryRevoked(const PrimaryRevocation&) = 0;
+
     /// The load balancer should start or stop sending new callers to this VM.
     virtual void acceptsCallersChanged(bool accepts) = 0;
 };
 
 /// Owns the sessions, groups and rate limits of one traffic thread. All calls must be made on that thread.
-class StatementService : public CallerHandlerFactory, public PeerListener, private EndpointObserver {
+class StatementService : public CallerHandlerFactory,
+                         public PeerListener,
+                         private EndpointObserver,
+                         private PrimaryLeaseListener {
 public:
     StatementService(StatementServiceSettings, Timers&, EndpointConnector&, PeerTransport&, RelayTransport&,
         TrafficListener&, TrafficLog&);
@@ -83,6 +91,7 @@
 
     LimitShares& shares() { return this->limitShares; }
     RequestAdmission& admission() { return this->requestAdmission; }
+    PrimaryLease& primaryLease() { return this->lease; }
     Timers& timers() { return this->clock; }
     TrafficListener& trafficListener() { return this->listener; }
     TrafficLog& log() { return this->trafficLog; }
@@ -136,6 +145,9 @@
 
 private:
     void endpointReachabilityChanged(const EndpointId&, bool reachable) override;
+    void primaryLeaseChanged() override;
+    void primaryRevoked(const PrimaryRevocation&) override;
+    bool canUsePrimary(const GroupTraffic&) const;
     OrganisationId anyOrganisation() const;
 
     StatementServiceSettings options;
@@ -147,6 +159,7 @@
     LimitShares limitShares;
     RequestAdmission requestAdmission;
     ReachabilityPoll reachabilityPoll;
+    PrimaryLease lease;
     PreparedStatementIds statementIds;
     Relay relay;
     std::shared_ptr<const Directory> currentDirectory;
--- a/tests/Adapter/SettingsAndRowsTest.cpp
+++ b/tests/Adapter/SettingsAndRowsTest.cpp
@@ -52,6 +52,15 @@
     }
 }
 
+// A settings file that does not say whether promotions are fenced must not end the process, and the precautions for
+// unfenced ones must be taken.
+BOOST_AUTO_TEST_CASE(ParseVmSettings_FencingMissingOrMalformed_IsTakenForUnfenced)
+{
+    BOOST_TEST(parseVmSettings(settingsText + "bounds.fencing_required=true\n").promotionsAreFenced);
+    for (const char* line : { "", "bounds.fencing_required=false\n", "bounds.fencing_required=maybe\n" })
+        BOOST_TEST(!parseVmSettings(settingsText + line).promotionsAreFenced);
+}
+
 BOOST_AUTO_TEST_CASE(Base64_AnyBytes_ReturnsSameBytes)
 {
     for (const std::string& bytes :
--- a/tests/Peers/PeerMessagesTest.cpp
+++ b/tests/Peers/PeerMessagesTest.cpp
@@ -13,7 +13,11 @@
     const std::vector<PeerMessage> messages { TokenRequest { 7, OrganisationId("desk"), 2500 },
         TokenReply { 7, OrganisationId("desk"), 1000 }, ReachabilityRequest { 8, GroupId("stock"), EndpointId("a") },
         ReachabilityReply { 8, EndpointId("a"), Reachability::Unreachable },
-        PromotionNotice { GroupId("stock"), EndpointId("b"), 900 } };
+        PromotionNotice { GroupId("stock"), EndpointId("b"), 900 }, LeaseRequest { 9 },
+        LeaseReply { 9, true, 250, { { GroupId("stock"), EndpointId("a"), 41 }, { GroupId("club"), {}, 42 } } },
+        LeaseReply { 10, false, 0, {} }, ConfirmationRequest { 11 },
+        ConfirmationReply { 11, 12, { { GroupId("stock"), EndpointId("a"), 41 } } },
+        RevocationRequest { 12, { GroupId("stock"), EndpointId("a"), 41 } }, RevocationReply { 12, 12 } };
     for (const PeerMessage& message : messages) {
         const auto decoded = decodePeerMessage(encodePeerMessage(message));
         BOOST_REQUIRE(decoded);
--- a/tests/Promotion/PromotionCoordinatorTest.cpp
+++ b/tests/Promotion/PromotionCoordinatorTest.cpp
@@ -1,5 +1,7 @@
 #include "Promotion/PromotionCoordinator.h"
 
+#include "Limits/ShareLedger.h"
+
 #include <boost/test/unit_test.hpp>
 
 using namespace Lavendervane;
@@ -88,6 +90,32 @@
         return attempt;
     }
 
+    /// Runs an unplanned promotion of endpoints that are not fenced up to the revocation of the old primary.
+    uint64_t advanceToRevocation()
+    {
+        this->coordinator = makeUnfencedCoordinator();
+        this->handle(VmsChanged { { VmId("vm-1") } });
+        this->registry(EndpointRole::Primary, EndpointRole::Replica);
+        const uint64_t attempt = this->advanceToStatusQuery();
+        BOOST_REQUIRE(this->find<ReadFleet>());
+        this->handle(FleetReadAnswered { stock, attempt, this->reply(TableStatus::Done, 7, ledger()) });
+        return attempt;
+    }
+
+    static PromotionCoordinator makeUnfencedCoordinator()
+    {
+        PromotionCoordinatorSettings settings;
+        settings.primaryLease = 1500ms;
+        return { VmId("vm-1"), "run-1", settings };
+    }
+
+    static std::string ledger()
+    {
+        ShareLedger made;
+        made.renew({ { VmId("vm-2"), DataCentre("dc-1"), "10.0.0.2:7560", 1000 }, "run" }, 1000, {});
+        return made.serialise();
+    }
+
     uint32_t synchronousReplicas = 0;
     PromotionCoordinator coordinator { VmId("vm-1"), "run-1", {} };
     Instant now { 100s };
@@ -284,6 +312,125 @@
     BOOST_TEST((this->coordinator.primaryOf(stock) == b));
 }
 
+// An old primary that is not fenced goes on. Before another endpoint is promoted, all VMs must have stopped using it,
+// including those that the promoting VM did not know of before.
+BOOST_AUTO_TEST_CASE(Unfenced_PrimaryUnreachable_IsRevokedAtAllVmsBeforeOrder)
+{
+    const uint64_t attempt = this->advanceToRevocation();
+    const auto* revoke = this->find<RevokePrimary>();
+    BOOST_REQUIRE(revoke);
+    BOOST_TEST((revoke->revocation == PrimaryRevocation { stock, a, 41 }));
+    BOOST_REQUIRE(revoke->members.size() == 1U);
+    BOOST_TEST(revoke->members.front().vm == VmId("vm-2"));
+    BOOST_TEST(!this->find<QueryEndpointStatuses>());
+    this->handle(PrimaryRevocationFinished { stock, attempt, true });
+    BOOST_REQUIRE(this->find<QueryEndpointStatuses>());
+    this->handle(EndpointStatusesReceived { stock, attempt, { { b, status(50) }, { c, status(52) } } });
+    BOOST_REQUIRE(this->find<OrderPromotion>());
+    BOOST_TEST(this->find<OrderPromotion>()->endpoint == c);
+}
+
+// The promotion lease records the revocation, so that VMs that start later know of it.
+BOOST_AUTO_TEST_CASE(Unfenced_LeaseWritten_RecordsRevocation)
+{
+    this->coordinator = makeUnfencedCoordinator();
+    this->handle(VmsChanged { { VmId("vm-1") } });
+    this->registry(EndpointRole::Primary, EndpointRole::Replica);
+    this->handle(EndpointReachabilityChanged { stock, a, false });
+    this->fireTimer();
+    const uint64_t attempt = this->find<PollReachability>()->attempt;
+    this->handle(ReachabilityPolled { stock, attempt, 9, 2, 7 });
+    this->handle(LeaseReadAnswered { stock, attempt, this->reply(TableStatus::Done, 0) });
+    BOOST_REQUIRE(this->find<WriteLease>());
+    const RowWrite write = this->find<WriteLease>()->transaction.writes.front();
+    const auto stored = PromotionCoordinator::storedRevocation({ write.key, 41, write.value });
+    BOOST_REQUIRE(stored.has_value());
+    BOOST_TEST((*stored == PrimaryRevocation { stock, a, 41 }));
+}
+
+// A row of another version or with unreadable content must not be taken for a revocation or end the process.
+BOOST_AUTO_TEST_CASE(StoredRevocation_RowUnreadable_IsNothing)
+{
+    for (const char* value : { "", "garbage", "[]", "{}", R"({"revoked":7})", "{\"revoked\":" })
+        BOOST_TEST(!PromotionCoordinator::storedRevocation({ "promotion/stock", 41, value }), value);
+    BOOST_TEST(!PromotionCoordinator::storedRevocation({ "shares", 41, R"({"revoked":"a"})" }));
+}
+
+// Without a majority, VMs elsewhere may go on using the old primary.
+BOOST_AUTO_TEST_CASE(Unfenced_RevocationFails_OrdersNothing)
+{
+    const uint64_t attempt = this->advanceToRevocation();
+    this->handle(PrimaryRevocationFinished { stock, attempt, false });
+    BOOST_TEST(!this->find<QueryEndpointStatuses>());
+    BOOST_TEST(this->find<SetPromotionTimer>());
+}
+
+// A VM that was suspended while it promoted an endpoint may have been replaced by another VM, whose order an unfenced
+// platform would not protect.
+BOOST_AUTO_TEST_CASE(Unfenced_PromotionLeaseExpired_OrdersNothing)
+{
+    const uint64_t attempt = this->advanceToRevocation();
+    this->handle(PrimaryRevocationFinished { stock, attempt, true });
+    this->now += 5s;
+    this->handle(EndpointStatusesReceived { stock, attempt, { { b, status(50) } } });
+    BOOST_TEST(!this->find<OrderPromotion>());
+    BOOST_TEST(this->find<SetPromotionTimer>());
+}
+
+// If the VM that revoked the primary ends, another one must complete the promotion although the primary is reachable.
+BOOST_AUTO_TEST_CASE(Unfenced_RevocationOfOtherVm_IsCompletedIfNoPrimaryAppears)
+{
+    this->coordinator = makeUnfencedCoordinator();
+    this->handle(VmsChanged { { VmId("vm-1") } });
+    this->registry(EndpointRole::Primary, EndpointRole::Replica);
+    this->handle(PrimaryRevocationLearnt { { stock, a, 41 } });
+    BOOST_REQUIRE(this->find<SetPromotionTimer>());
+    BOOST_TEST((this->timer.when - this->now >= 3s));
+    this->fireTimer();
+    BOOST_TEST(this->find<ReadLease>());
+}
+
+// The entry of an old primary may expire and return while the old primary still takes itself for the primary.
+BOOST_AUTO_TEST_CASE(Unfenced_RevokedPrimaryRegistersAgain_IsNotUsed)
+{
+    this->coordinator = makeUnfencedCoordinator();
+    this->handle(PrimaryRevocationLearnt { { stock, a, 41 } });
+    this->handle(RegistryUpdated { { endpoint(b, EndpointRole::Primary), endpoint(c, EndpointRole::Replica) }, {} });
+    this->registry(EndpointRole::Primary, EndpointRole::Primary);
+    BOOST_TEST((this->coordinator.primaryOf(stock) == b));
+}
+
+// A VM that starts while both endpoints are registered as primary learns from the table which one was replaced.
+BOOST_AUTO_TEST_CASE(Unfenced_RevocationLearntAfterRegistry_ChangesPrimary)
+{
+    this->coordinator = makeUnfencedCoordinator();
+    this->registry(EndpointRole::Primary, EndpointRole::Primary);
+    const EndpointId first = *this->coordinator.primaryOf(stock);
+    this->handle(PrimaryRevocationLearnt { { stock, first, 41 } });
+    BOOST_TEST((this->coordinator.primaryOf(stock) == (first == a ? b : a)));
+}
+
+// An order without an answer may be executed after a later one. Ordering the same endpoint makes that harmless.
+BOOST_AUTO_TEST_CASE(Unfenced_OrderUnanswered_IsRepeatedForSameEndpoint)
+{
+    uint64_t attempt = this->advanceToRevocation();
+    this->handle(PrimaryRevocationFinished { stock, attempt, true });
+    this->handle(EndpointStatusesReceived { stock, attempt, { { b, status(50) }, { c, status(49) } } });
+    this->handle(PromotionOrderAnswered { stock, attempt, PromotionOrderStatus::Unknown });
+    this->fireTimer();
+    this->fireTimer();
+    BOOST_REQUIRE(this->find<PollReachability>());
+    attempt = this->find<PollReachability>()->attempt;
+    this->handle(ReachabilityPolled { stock, attempt, 9, 2, 7 });
+    this->handle(LeaseReadAnswered { stock, attempt, this->reply(TableStatus::Done, 0) });
+    this->handle(LeaseWriteAnswered { stock, attempt, this->reply(TableStatus::Done, 43) });
+    this->handle(FleetReadAnswered { stock, attempt, this->reply(TableStatus::Done, 7, ledger()) });
+    this->handle(PrimaryRevocationFinished { stock, attempt, true });
+    this->handle(EndpointStatusesReceived { stock, attempt, { { b, status(50) }, { c, status(51) } } });
+    BOOST_REQUIRE(this->find<OrderPromotion>());
+    BOOST_TEST(this->find<OrderPromotion>()->endpoint == b);
+}
+
 // While another VM promotes a replica, this VM must wait until the new primary should have appeared.
 BOOST_AUTO_TEST_CASE(Notice_OfAnotherVm_DelaysOwnAttempt)
 {
--- a/tests/Statements/ServiceFixture.cpp
+++ b/tests/Statements/ServiceFixture.cpp
@@ -28,8 +28,9 @@
     return endpoint;
 }
 
-ServiceFixture::ServiceFixture()
+ServiceFixture::ServiceFixture(Duration primaryLease)
 {
+    this->settings.primaryLease.duration = primaryLease;
     this->settings.vm = VmId("vm-1");
     this->settings.dataCentre = DataCentre("dc-1");
     this->configuration.version = 1;
@@ -46,6 +47,7 @@
     this->service = std::make_unique<StatementService>(this->settings, this->timers, this->connector, this->transport,
         this->relayTransport, this->trafficListener, this->log);
     this->publish();
+    this->service->primaryLease().start({});
     this->service->shares().setShare(fullShare, this->timers.now() + std::chrono::hours(1), this->timers.now());
     this->timers.advance(std::chrono::seconds(2));
 }
--- a/tests/Statements/ServiceFixture.h
+++ b/tests/Statements/ServiceFixture.h
@@ -82,10 +82,12 @@
         this->reachability.emplace_back(endpoint, reachable);
     }
     void promotionNoticeReceived(const GroupId&) override { }
+    void primaryRevoked(const PrimaryRevocation& revocation) override { this->revocations.push_back(revocation); }
     void acceptsCallersChanged(bool accepts) override { this->acceptsCallers.push_back(accepts); }
 
     std::vector<std::pair<EndpointId, bool>> reachability;
     std::vector<bool> acceptsCallers;
+    std::vector<PrimaryRevocation> revocations;
 };
 
 class FakeTrafficLog : public TrafficLog {
@@ -103,7 +105,9 @@
 /// A service with one group "stock", whose primary is "a" and whose replicas are "b" and "c", and with three routes:
 /// "strong", "bounded" (maximum staleness of 1,500 ms) and "own" (maximum staleness of 2,500 ms).
 struct ServiceFixture {
-    ServiceFixture();
+    /// With a `primaryLease`, the service has a lease on primaries of that duration, confirmed by itself as the only
+    /// VM.
+    explicit ServiceFixture(Duration primaryLease = {});
 
     /// Sets the service's directory from `configuration` and `endpoints`.
     void publish();
