--- a/tests/Statements/PrimaryLeaseSessionTest.cpp
+++ b/tests/Statements/PrimaryLeaseSessionTest.cpp
@@ -14,6 +14,20 @@
     {
     }
 
+    /// Opens a session whose connection to the primary answers after 400 ms.
+    std::unique_ptr<FakeCaller> openSlow()
+    {
+        for (SessionRoute& route : this->configuration.routes)
+            route.statementTimeout = 3s;
+        this->publish();
+        this->connector.delay = 400ms;
+        auto caller = this->open("strong");
+        caller->send(StatementKind::Write, "WRITE first 1");
+        this->timers.advance(2s);
+        BOOST_TEST((caller->last().code == AnswerCode::Done));
+        return caller;
+    }
+
     void letLeaseExpire()
     {
         this->service->setPeers({ { VmId("vm-1"), DataCentre("dc-1"), "10.0.0.1:7560" },
@@ -71,13 +85,10 @@
 // endpoint, and would be lost although it was acknowledged.
 BOOST_AUTO_TEST_CASE(Write_LeaseExpiresBeforeAnswer_IsInDoubt)
 {
-    auto caller = this->open("strong");
-    caller->send(StatementKind::Write, "WRITE warm 1");
-    this->settle();
+    auto caller = this->openSlow();
     this->service->setPeers({ { VmId("vm-1"), DataCentre("dc-1"), "10.0.0.1:7560" },
         { VmId("vm-2"), DataCentre("dc-1"), "10.0.0.2:7560" }, { VmId("vm-3"), DataCentre("dc-1"), "10.0.0.3:7560" } });
     this->timers.advance(1190ms);
-    this->connector.delay = 400ms;
     caller->send(StatementKind::Write, "WRITE x 1");
     this->timers.advance(1s);
     BOOST_TEST((caller->last().code == AnswerCode::InDoubt));
@@ -102,10 +113,7 @@
 // A VM that confirms a revocation must not pass on answers of the revoked endpoint afterwards.
 BOOST_AUTO_TEST_CASE(Write_PrimaryRevokedWhilePending_IsInDoubt)
 {
-    auto caller = this->open("strong");
-    caller->send(StatementKind::Write, "WRITE warm 1");
-    this->settle();
-    this->connector.delay = 100ms;
+    auto caller = this->openSlow();
     caller->send(StatementKind::Write, "WRITE x 1");
     this->timers.advance(10ms);
     this->revokePrimary();
