--- a/tests/Statements/PrimaryLeaseSessionTest.cpp
+++ b/tests/Statements/PrimaryLeaseSessionTest.cpp
@@ -14,13 +14,13 @@
     {
     }
 
-    /// Opens a session whose connection to the primary answers after 400 ms.
+    /// Opens a session whose connection to the primary answers after 250 ms.
     std::unique_ptr<FakeCaller> openSlow()
     {
         for (SessionRoute& route : this->configuration.routes)
             route.statementTimeout = 3s;
         this->publish();
-        this->connector.delay = 400ms;
+        this->connector.delay = 250ms;
         auto caller = this->open("strong");
         caller->send(StatementKind::Write, "WRITE first 1");
         this->timers.advance(2s);
@@ -28,14 +28,32 @@
         return caller;
     }
 
-    void letLeaseExpire()
+    /// Makes two more VMs join the fleet that do not confirm any lease.
+    void stopRenewals()
     {
         this->service->setPeers({ { VmId("vm-1"), DataCentre("dc-1"), "10.0.0.1:7560" },
             { VmId("vm-2"), DataCentre("dc-1"), "10.0.0.2:7560" },
             { VmId("vm-3"), DataCentre("dc-1"), "10.0.0.3:7560" } });
+    }
+
+    void letLeaseExpire()
+    {
+        this->stopRenewals();
         this->timers.advance(1500ms);
     }
 
+    /// Time from `stopRenewals` after `openSlow` until the lease expires.
+    static Duration timeToExpiry()
+    {
+        LeasedServiceFixture probe;
+        const auto caller = probe.openSlow();
+        probe.stopRenewals();
+        Duration time {};
+        for (; probe.service->primaryLease().mayUse(GroupId("stock"), EndpointId("a")); time += 1ms)
+            probe.timers.advance(1ms);
+        return time;
+    }
+
     void revokePrimary()
     {
         this->service->onPeerMessage(
@@ -86,9 +104,8 @@
 BOOST_AUTO_TEST_CASE(Write_LeaseExpiresBeforeAnswer_IsInDoubt)
 {
     auto caller = this->openSlow();
-    this->service->setPeers({ { VmId("vm-1"), DataCentre("dc-1"), "10.0.0.1:7560" },
-        { VmId("vm-2"), DataCentre("dc-1"), "10.0.0.2:7560" }, { VmId("vm-3"), DataCentre("dc-1"), "10.0.0.3:7560" } });
-    this->timers.advance(1190ms);
+    this->stopRenewals();
+    this->timers.advance(timeToExpiry() - 100ms);
     caller->send(StatementKind::Write, "WRITE x 1");
     this->timers.advance(1s);
     BOOST_TEST((caller->last().code == AnswerCode::InDoubt));
