Collect the tokens of an organisation at one VM of a large fleet

Cause: in a large fleet twelve VMs hold the shares of every limit, so a small organisation has less than one token at each.

Change: one holder for each organisation, chosen by rendezvous hashing, gathers tokens from the others in equal parts and lends them; the second and third replace it when it does not answer.

--- a/src/Limits/LimitShares.cpp
+++ b/src/Limits/LimitShares.cpp
@@ -89,6 +89,42 @@
     return lent;
 }
 
+uint64_t LimitShares::lendAny(const OrganisationId& organisation, uint64_t wanted, Instant now)
+{
+    const auto found = this->entries.find(organisation);
+    if (found == this->entries.end() || now >= this->expiry)
+        return 0;
+    Entry& entry = found->second;
+    const uint64_t lent = std::min(wanted, entry.borrowed + entry.bucket.milliTokens(now));
+    const uint64_t fromBorrowed = std::min(lent, entry.borrowed);
+    if (lent < milliTokensPerRequest || !entry.bucket.take(lent - fromBorrowed, now))
+        return 0;
+    entry.borrowed -= fromBorrowed;
+    return lent;
+}
+
+uint64_t LimitShares::borrowed(const OrganisationId& organisation) const
+{
+    const auto found = this->entries.find(organisation);
+    return found == this->entries.end() ? 0 : found->second.borrowed;
+}
+
+uint64_t LimitShares::available(const OrganisationId& organisation, Instant now) const
+{
+    const auto found = this->entries.find(organisation);
+    if (found == this->entries.end() || now >= this->expiry)
+        return 0;
+    return found->second.borrowed + found->second.bucket.milliTokens(now);
+}
+
+Duration LimitShares::tokenInterval(const OrganisationId& organisation) const
+{
+    const auto found = this->entries.find(organisation);
+    if (found == this->entries.end() || !found->second.limit.milliRate)
+        return Duration::max();
+    return Duration(std::chrono::seconds(milliTokensPerRequest)) / found->second.limit.milliRate;
+}
+
 void LimitShares::addBorrowed(const OrganisationId& organisation, uint64_t milliTokens)
 {
     const auto found = this->entries.find(organisation);
--- a/src/Limits/LimitShares.h
+++ b/src/Limits/LimitShares.h
@@ -42,6 +42,19 @@
     /// tokens that the callers of this VM are expected to need soon.
     uint64_t lend(const OrganisationId&, uint64_t wanted, Instant now);
 
+    /// Takes up to `wanted` (1/1000 requests) from the borrowed tokens and the bucket, without regard to the callers of
+    /// this VM, and returns the amount; 0 if there is less than one whole token.
+    uint64_t lendAny(const OrganisationId&, uint64_t wanted, Instant now);
+
+    /// Tokens lent by other VMs that have not been used, in 1/1000 requests.
+    uint64_t borrowed(const OrganisationId&) const;
+
+    /// Tokens that `lendAny` could lend, in 1/1000 requests.
+    uint64_t available(const OrganisationId&, Instant now) const;
+
+    /// Time in which the limit yields one token for all VMs together; `Duration::max()` if it yields none.
+    Duration tokenInterval(const OrganisationId&) const;
+
     /// Adds tokens lent by another VM, in 1/1000 requests.
     void addBorrowed(const OrganisationId&, uint64_t milliTokens);
 
--- a/src/Peers/PeerMessages.cpp
+++ b/src/Peers/PeerMessages.cpp
@@ -40,7 +40,8 @@
 struct Encoder {
     Json operator()(const TokenRequest& message) const
     {
-        return { TokenRequestKind, message.requestId, message.organisation.str(), message.requestedMilliTokens };
+        return { TokenRequestKind, message.requestId, message.organisation.str(), message.requestedMilliTokens,
+            message.collect };
     }
     Json operator()(const TokenReply& message) const
     {
@@ -105,7 +106,9 @@
 {
     switch (numberAt(json, 0)) {
     case TokenRequestKind:
-        return TokenRequest { numberAt(json, 1), OrganisationId(stringAt(json, 2)), numberAt(json, 3) };
+        // The last field is missing in messages of earlier versions.
+        return TokenRequest { numberAt(json, 1), OrganisationId(stringAt(json, 2)), numberAt(json, 3),
+            json.size() > 4 && json.at(4).get<bool>() };
     case TokenReplyKind:
         return TokenReply { numberAt(json, 1), OrganisationId(stringAt(json, 2)), numberAt(json, 3) };
     case ReachabilityRequestKind:
--- a/src/Peers/PeerMessages.h
+++ b/src/Peers/PeerMessages.h
@@ -17,6 +17,7 @@
     uint64_t requestId = 0; ///< copied to the reply
     OrganisationId organisation;
     uint64_t requestedMilliTokens = 0; ///< in 1/1000 of a request
+    bool collect = false; ///< true if the VM is to gather tokens from all others that hold shares
 
     friend bool operator==(const TokenRequest&, const TokenRequest&) = default;
 };
--- a/src/Statements/RequestAdmission.cpp
+++ b/src/Statements/RequestAdmission.cpp
@@ -1,10 +1,15 @@
 #include "Statements/RequestAdmission.h"
 
+#include "Core/Rendezvous.h"
+
 #include <algorithm>
 #include <utility>
 
 namespace Lavendervane {
 
+// Number of VMs that may collect the tokens of an organisation; the second and third replace a VM that does not answer.
+static constexpr size_t collectorsPerOrganisation = 3;
+
 RequestAdmission::RequestAdmission(LimitShares& shares, Timers& timers, PeerTransport& transport, VmId ownVm,
     DataCentre dataCentre, RequestAdmissionSettings settings, uint64_t seed)
     : shares(shares)
@@ -14,6 +19,7 @@
     , dataCentre(std::move(dataCentre))
     , settings(settings)
     , random(seed)
+    , collector(shares, timers, transport)
 {
 }
 
@@ -29,11 +35,83 @@
 {
     this->localLenders.clear();
     this->remoteLenders.clear();
+    this->holders.clear();
+    this->holderAddresses.clear();
+    this->collectors.clear();
+    this->sharesAreConcentrated
+        = std::any_of(peers.begin(), peers.end(), [](const FleetMember& peer) { return !peer.holdsShare; });
     for (const FleetMember& peer : peers) {
-        if (peer.vm == this->ownVm || peer.address.empty() || !peer.holdsShare)
+        if (!peer.holdsShare || (peer.address.empty() && peer.vm != this->ownVm))
+            continue;
+        this->holders.push_back(peer.vm);
+        this->holderAddresses[peer.vm] = peer.vm == this->ownVm ? std::string() : peer.address;
+        if (peer.vm == this->ownVm)
             continue;
         (peer.dataCentre == this->dataCentre ? this->localLenders : this->remoteLenders).push_back(peer.address);
     }
+    std::vector<std::string> others = this->localLenders;
+    others.insert(others.end(), this->remoteLenders.begin(), this->remoteLenders.end());
+    this->collector.setHolders(std::move(others));
+}
+
+std::vector<std::string> RequestAdmission::collectorsOf(const OrganisationId& organisation)
+{
+    auto [known, added] = this->collectors.try_emplace(organisation);
+    if (added) {
+        for (const VmId& vm : rankByRendezvous(this->holders, organisation.str(), collectorsPerOrganisation))
+            known->second.push_back(this->holderAddresses.at(vm));
+    }
+    return known->second;
+}
+
+std::optional<std::string> RequestAdmission::chooseCollector(const OrganisationId& organisation, const WaitQueue& queue)
+{
+    if (!this->sharesAreConcentrated)
+        return std::nullopt;
+    const Instant now = this->timers.now();
+    for (const std::string& address : this->collectorsOf(organisation)) {
+        const auto silent = this->silentUntil.find(address);
+        const bool wasAsked
+            = std::find(queue.askedLenders.begin(), queue.askedLenders.end(), address) != queue.askedLenders.end();
+        if (!wasAsked && (silent == this->silentUntil.end() || silent->second <= now))
+            return address;
+    }
+    return std::nullopt;
+}
+
+// An empty address stands for this VM.
+void RequestAdmission::requestFromCollector(
+    const OrganisationId& organisation, WaitQueue& queue, const std::string& address)
+{
+    queue.askedLenders.push_back(address);
+    const uint64_t requestId = ++this->lastRequestId;
+    queue.pendingRequest = requestId;
+    queue.asksCollector = true;
+    const uint64_t wanted = std::max(
+        this->shares.borrowAmount(organisation, this->timers.now()), queue.waiters.size() * milliTokensPerRequest);
+    if (address.empty()) {
+        this->collector.take(organisation, wanted, [this, organisation, requestId](uint64_t lent) {
+            this->handleTokenReply("", TokenReply { requestId, organisation, lent });
+        });
+        return;
+    }
+    queue.timer = this->timers.schedule(this->timers.now() + this->settings.collectorTimeout,
+        [this, organisation, requestId] { this->handleLenderTimeout(organisation, requestId); });
+    this->transport.send(address, TokenRequest { requestId, organisation, wanted, true });
+}
+
+void RequestAdmission::handleLenderTimeout(const OrganisationId& organisation, uint64_t requestId)
+{
+    WaitQueue& queue = this->waitQueues[organisation];
+    queue.timer.reset();
+    if (queue.pendingRequest != requestId)
+        return;
+    if (queue.asksCollector)
+        this->silentUntil[queue.askedLenders.back()] = this->timers.now() + this->settings.silentCollectorTime;
+    if (queue.lastLender == queue.askedLenders.back())
+        queue.lastLender.clear();
+    queue.pendingRequest = 0;
+    this->requestFromNextLender(organisation, queue);
 }
 
 uint64_t RequestAdmission::admit(const OrganisationId& organisation, Callback callback)
@@ -85,32 +163,35 @@
 
 void RequestAdmission::requestFromNextLender(const OrganisationId& organisation, WaitQueue& queue)
 {
+    queue.asksCollector = false;
+    if (const auto address = this->chooseCollector(organisation, queue)) {
+        this->requestFromCollector(organisation, queue, *address);
+        return;
+    }
     const auto lender = this->chooseLender(queue);
     if (!lender) {
-        this->refuseWaiters(queue);
+        this->refuseWaiters(queue, this->settings.refusalTime);
         return;
     }
     queue.askedLenders.push_back(*lender);
     queue.pendingRequest = ++this->lastRequestId;
     const uint64_t pendingRequest = queue.pendingRequest;
-    queue.timer = this->timers.schedule(
-        this->timers.now() + this->settings.lenderTimeout, [this, organisation, pendingRequest] {
-            WaitQueue& timedOut = this->waitQueues[organisation];
-            timedOut.timer.reset();
-            if (timedOut.pendingRequest != pendingRequest)
-                return;
-            if (timedOut.lastLender == timedOut.askedLenders.back())
-                timedOut.lastLender.clear();
-            timedOut.pendingRequest = 0;
-            this->requestFromNextLender(organisation, timedOut);
-        });
+    queue.timer = this->timers.schedule(this->timers.now() + this->settings.lenderTimeout,
+        [this, organisation, pendingRequest] { this->handleLenderTimeout(organisation, pendingRequest); });
     const uint64_t wanted = std::max(
         this->shares.borrowAmount(organisation, this->timers.now()), queue.waiters.size() * milliTokensPerRequest);
-    this->transport.send(*lender, TokenRequest { pendingRequest, organisation, wanted });
+    this->transport.send(*lender, TokenRequest { pendingRequest, organisation, wanted, false });
 }
 
 void RequestAdmission::handleTokenRequest(const std::string& sender, const TokenRequest& request)
 {
+    if (request.collect) {
+        this->collector.take(request.organisation, request.requestedMilliTokens,
+            [this, sender, id = request.requestId, organisation = request.organisation](uint64_t lent) {
+                this->transport.send(sender, TokenReply { id, organisation, lent });
+            });
+        return;
+    }
     const Instant now = this->timers.now();
     const auto present = this->waitQueues.find(request.organisation);
     const bool needed = present != this->waitQueues.end() && !present->second.waiters.empty();
@@ -122,6 +203,9 @@
 {
     // Tokens that arrive after the time-out are valid too.
     this->shares.addBorrowed(reply.organisation, reply.lentMilliTokens);
+    if (this->collector.handleReply(reply))
+        return;
+    this->silentUntil.erase(sender);
     const auto present = this->waitQueues.find(reply.organisation);
     if (present == this->waitQueues.end())
         return;
@@ -135,6 +219,15 @@
         if (queue.timer)
             this->timers.cancel(*queue.timer);
         queue.timer.reset();
+        if (queue.asksCollector) {
+            // The collector knows the tokens of all VMs. It may be asked again once it has lent some.
+            queue.askedLenders.clear();
+            if (!reply.lentMilliTokens) {
+                // The collector answers at once while it has no tokens, so it may be asked again.
+                this->refuseWaiters(queue, {});
+                return;
+            }
+        }
     }
     this->admitWaiters(reply.organisation, queue);
 }
@@ -154,11 +247,11 @@
         this->requestFromNextLender(organisation, queue);
 }
 
-void RequestAdmission::refuseWaiters(WaitQueue& queue)
+void RequestAdmission::refuseWaiters(WaitQueue& queue, Duration refusalTime)
 {
     queue.askedLenders.clear();
     queue.pendingRequest = 0;
-    queue.refuseUntil = this->timers.now() + this->settings.refusalTime;
+    queue.refuseUntil = this->timers.now() + refusalTime;
     for (Waiter& refused : std::exchange(queue.waiters, {}))
         refused.callback(false);
 }
--- a/src/Statements/RequestAdmission.h
+++ b/src/Statements/RequestAdmission.h
@@ -5,6 +5,7 @@
 #include "Limits/ShareLedger.h"
 #include "Peers/PeerTransport.h"
 #include "Runtime/Timers.h"
+#include "Statements/TokenCollector.h"
 
 #include <cstdint>
 #include <deque>
@@ -19,6 +20,10 @@
 struct RequestAdmissionSettings {
     /// Time limit for a lender's answer. Between data centres of a region, an answer takes about 3 ms.
     Duration lenderTimeout = std::chrono::milliseconds(8);
+    /// Time limit for the answer of a VM that first collects tokens from others.
+    Duration collectorTimeout = std::chrono::milliseconds(25);
+    /// Time during which a collector that did not answer is not asked again.
+    Duration silentCollectorTime = std::chrono::seconds(2);
     /// Maximum number of VMs to ask for tokens before a request is refused.
     uint32_t maxLenders = 6;
     /// After no lender had tokens, further requests of the organisation are refused immediately for this long.
@@ -26,7 +31,9 @@
 };
 
 /// Admits requests within the rate limit of their organisation. Takes tokens of this VM's share, and borrows tokens
-/// from other VMs once the share is used up. A request is refused as soon as it is known that no tokens are available.
+/// from other VMs once the share is used up. In a fleet in which only some VMs hold shares, one of them collects the
+/// tokens of an organisation and lends them to the others. A request is refused as soon as it is known that no tokens
+/// are available.
 class RequestAdmission {
 public:
     using Callback = std::function<void(bool admitted)>;
@@ -60,15 +67,20 @@
         std::deque<Waiter> waiters;
         std::vector<std::string> askedLenders; ///< addresses of the VMs asked so far, in order
         uint64_t pendingRequest = 0; ///< ID of the token request that awaits an answer; 0 if none
+        bool asksCollector = false; ///< the pending request is to a collector
         std::optional<Timers::Handle> timer;
         Instant refuseUntil {};
         std::string lastLender;
     };
 
+    std::vector<std::string> collectorsOf(const OrganisationId&);
+    std::optional<std::string> chooseCollector(const OrganisationId&, const WaitQueue&);
+    void requestFromCollector(const OrganisationId&, WaitQueue&, const std::string& collector);
+    void handleLenderTimeout(const OrganisationId&, uint64_t requestId);
     void requestFromNextLender(const OrganisationId&, WaitQueue&);
     std::optional<std::string> chooseLender(const WaitQueue&);
     void admitWaiters(const OrganisationId&, WaitQueue&);
-    void refuseWaiters(WaitQueue&);
+    void refuseWaiters(WaitQueue&, Duration refusalTime);
 
     LimitShares& shares;
     Timers& timers;
@@ -79,6 +91,13 @@
     RandomGenerator random;
     std::vector<std::string> localLenders; ///< addresses of VMs in the same data centre
     std::vector<std::string> remoteLenders;
+    /// True if only some VMs hold shares.
+    bool sharesAreConcentrated = false;
+    std::vector<VmId> holders; ///< VMs that hold shares, including this one
+    std::map<VmId, std::string> holderAddresses; ///< empty address for this VM
+    std::map<OrganisationId, std::vector<std::string>> collectors; ///< addresses in order of preference
+    std::map<std::string, Instant> silentUntil; ///< collectors that did not answer, by address
+    TokenCollector collector;
     std::map<OrganisationId, WaitQueue> waitQueues;
     uint64_t lastRequestId = 0;
 };
--- a/tests/Statements/RequestAdmissionTest.cpp
+++ b/tests/Statements/RequestAdmissionTest.cpp
@@ -20,6 +20,7 @@
     ManualTimers timers;
     RandomGenerator random { 1 };
     uint32_t lossPercent = 0;
+    size_t sent = 0; ///< number of messages
     std::map<std::string, std::function<void(const std::string&, const PeerMessage&)>> receivers;
 };
 
@@ -33,6 +34,7 @@
 
     void send(const std::string& address, const PeerMessage& message) override
     {
+        ++this->network.sent;
         if (this->network.random.below(100) < this->network.lossPercent)
             return;
         // The sender may have been destroyed when the message arrives.
@@ -164,6 +166,40 @@
     }
 };
 
+/// A fleet with several hundred VMs in front of organisations whose burst is smaller than the number of VMs that hold
+/// shares.
+struct SmallOrganisationFixture : FleetFixture {
+    SmallOrganisationFixture()
+        : FleetFixture(295, 12)
+    {
+        this->rate = 6;
+        this->burst = 6;
+        for (size_t index = 0; index < this->vmCount; ++index) {
+            this->start(index);
+            this->all.push_back(index);
+        }
+        this->network.timers.advance(5s);
+    }
+
+    /// Number of the admitted and refused requests that a single bucket for the whole fleet would refuse.
+    uint64_t countRefusedByOneBucket(Duration duration, double perSecond)
+    {
+        TokenBucket bucket({ this->rate * milliTokensPerRequest, this->burst * milliTokensPerRequest }, Instant {});
+        RandomGenerator same = this->random;
+        Instant now = Instant {} + 5s;
+        uint64_t refusedByBucket = 0;
+        for (const Instant end = now + duration; now < end; now += 1ms) {
+            if (static_cast<double>(same.below(100'000)) < perSecond * 100) {
+                same.below(this->all.size());
+                refusedByBucket += !bucket.take(milliTokensPerRequest, now);
+            }
+        }
+        return refusedByBucket;
+    }
+
+    std::vector<size_t> all;
+};
+
 } // namespace
 
 BOOST_FIXTURE_TEST_SUITE(RequestAdmissionTest, FleetFixture)
@@ -219,6 +255,38 @@
     BOOST_TEST(this->worstExcess() <= 1.0);
 }
 
+// Callers of a small organisation connect to any VM of a large fleet. Tokens that are spread over several VMs must not
+// cause more refusals than the limit itself.
+BOOST_FIXTURE_TEST_CASE(Load_SmallOrganisationAtAllVmsOfLargeFleet_IsRefusedOnlyByLimit, SmallOrganisationFixture)
+{
+    const uint64_t unavoidable = this->countRefusedByOneBucket(600s, 4);
+    this->simulateLoad(600s, 4, this->all);
+    BOOST_TEST(this->refused * 1000 <= unavoidable * 1000 + this->requested);
+    BOOST_TEST(this->worstExcess() <= 1.0);
+}
+
+// The VM that collects the tokens of an organisation may crash. Its requests must find tokens elsewhere.
+BOOST_FIXTURE_TEST_CASE(Load_EachHolderCrashesInTurn_IsAdmitted, SmallOrganisationFixture)
+{
+    for (size_t holder = 0; holder < this->holderCount; ++holder) {
+        this->vms[holder].reset();
+        this->simulateLoad(10s, 2, { 20, 21, 22, 150, 200 });
+        this->start(holder);
+    }
+    BOOST_TEST(this->refused * 100 <= this->requested * 3);
+    BOOST_TEST(this->worstExcess() <= 1.0);
+}
+
+// An organisation far beyond its limit must neither exceed it nor cause messages without bound.
+BOOST_FIXTURE_TEST_CASE(Load_FarBeyondLimitInLargeFleet_KeepsLimitWithFewMessages, SmallOrganisationFixture)
+{
+    const size_t before = this->network.sent;
+    this->simulateLoad(30s, 120, this->all);
+    BOOST_TEST(this->worstExcess() <= 1.0);
+    BOOST_TEST(this->admitted.size() >= 6U * 30U * 9 / 10);
+    BOOST_TEST(this->network.sent - before <= 6 * this->requested);
+}
+
 // Requests that are known to exceed the limit are refused immediately, so that callers can retry in time.
 BOOST_AUTO_TEST_CASE(Request_NobodyHasTokens_IsRefusedAtOnceAfterFirstAnswer)
 {
