List each VM in a row of its own

Cause: all VMs wrote one row to join the fleet. With 295 VMs starting at once most writes conflicted: 3,045 writes and 2,888 reads of it in the first 18 s, and the last VMs joined 4 s after traffic had started. A VM read the list again only after minutes, so VMs chose different owners for an endpoint's connections, which together exceeded the number that it accepts.

Change: FleetMembership gives each VM a row, reads all rows once and announces the VM to the others by datagram. Only the VMs that hold shares of the limits write the ledger; who does follows from the list, once it has settled.

--- a/src/Fleet/EntryDaemon.cpp
+++ b/src/Fleet/EntryDaemon.cpp
@@ -216,6 +216,12 @@
         });
     }
 
+    void announceMember(const AnnounceMember& effect) override
+    {
+        asio::post(
+            this->trafficContext, [this, effect] { this->service.announceMember(effect.member, effect.addresses); });
+    }
+
     void startPrimaryLease(std::vector<PrimaryRevocation> stored) override
     {
         asio::post(
@@ -259,6 +265,11 @@
         });
     }
 
+    void memberAnnounced(const FleetMember& member) override
+    {
+        asio::post(this->controlContext, [this, member] { this->control.onMemberAnnounced(member); });
+    }
+
     void primaryRevoked(const PrimaryRevocation& revocation) override
     {
         asio::post(this->controlContext, [this, revocation] { this->control.onPrimaryRevoked(revocation); });
--- a/src/Fleet/FleetControl.cpp
+++ b/src/Fleet/FleetControl.cpp
@@ -24,7 +24,7 @@
     , traffic(traffic)
     , log(log)
     , metrics(metrics)
-    , shareLeaseManager({ this->settings.self, this->settings.runId }, this->settings.shares, this->settings.seed)
+    , membership(this->settings.self, this->settings.membership, this->settings.seed)
     , promotionCoordinator(this->settings.self.vm, this->settings.runId, this->settings.promotion)
     , digestKey(randomBytes(digestKeyBytes))
     , lifetime(std::make_shared<int>(0))
@@ -39,7 +39,47 @@
         this->timers.cancel(*this->lapseTimer);
 }
 
-void FleetControl::start() { this->executeShareEffects(this->shareLeaseManager.start(this->timers.now())); }
+void FleetControl::start()
+{
+    for (const MembershipEffect& effect : this->membership.start())
+        this->executeMembershipEffect(effect);
+}
+
+void FleetControl::onMemberAnnounced(const FleetMember& member)
+{
+    this->handleMembershipEvent(MemberAnnounced { member });
+}
+
+void FleetControl::handleMembershipEvent(const MembershipEvent& event)
+{
+    for (const MembershipEffect& effect : this->membership.handle(event, this->timers.now()))
+        this->executeMembershipEffect(effect);
+}
+
+void FleetControl::executeMembershipEffect(const MembershipEffect& effect)
+{
+    const std::weak_ptr<int> guard = this->lifetime;
+    const auto answer = [this, guard](const MembershipEvent& event) {
+        if (!guard.expired())
+            this->handleMembershipEvent(event);
+    };
+    if (std::holds_alternative<ReadMembers>(effect)) {
+        this->table.readRows(
+            FleetMembership::keyPrefix, [answer](const TableReply& reply) { answer(MembersRead { reply }); });
+    } else if (const auto* write = std::get_if<WriteMember>(&effect)) {
+        this->table.transact(write->transaction, [this, guard, answer](const TableReply& reply) {
+            if (!guard.expired() && reply.result.status != TableStatus::Done)
+                this->log.write("member_not_written", { { "reason", reply.reason } });
+            answer(MemberWritten { reply });
+        });
+    } else if (const auto* announce = std::get_if<AnnounceMember>(&effect)) {
+        this->traffic.announceMember(*announce);
+    } else if (const auto* timer = std::get_if<SetMembershipTimer>(&effect)) {
+        this->timers.schedule(timer->when, [answer] { answer(MembershipTimerFired {}); });
+    } else if (const auto* list = std::get_if<PublishMembers>(&effect)) {
+        this->handleFleetChange(*list);
+    }
+}
 
 void FleetControl::onConfigurationRead(SessionConfiguration read)
 {
@@ -152,7 +192,8 @@
 
 void FleetControl::onShareTimer()
 {
-    this->executeShareEffects(this->shareLeaseManager.handle(ShareTimerFired {}, this->timers.now()));
+    if (this->shareLeaseManager)
+        this->executeShareEffects(this->shareLeaseManager->handle(ShareTimerFired {}, this->timers.now()));
 }
 
 void FleetControl::setShareTimer(Instant when)
@@ -186,18 +227,18 @@
     for (ShareEffect& effect : effects) {
         if (std::holds_alternative<ReadLedger>(effect)) {
             this->table.readRow(ShareLeaseManager::ledgerKey(), [this, guard](TableReply reply) {
-                if (!guard.expired())
+                if (!guard.expired() && this->shareLeaseManager)
                     this->executeShareEffects(
-                        this->shareLeaseManager.handle(LedgerReadCompleted { std::move(reply) }, this->timers.now()));
+                        this->shareLeaseManager->handle(LedgerReadCompleted { std::move(reply) }, this->timers.now()));
             });
         } else if (const auto* write = std::get_if<WriteLedger>(&effect)) {
             this->table.transact(write->transaction, [this, guard](TableReply reply) {
-                if (guard.expired())
+                if (guard.expired() || !this->shareLeaseManager)
                     return;
                 if (reply.result.status == TableStatus::NotSent || reply.result.status == TableStatus::Unknown)
                     this->log.write("shares_not_renewed", { { "reason", reply.reason } });
                 this->executeShareEffects(
-                    this->shareLeaseManager.handle(LedgerWriteCompleted { std::move(reply) }, this->timers.now()));
+                    this->shareLeaseManager->handle(LedgerWriteCompleted { std::move(reply) }, this->timers.now()));
             });
         } else if (const auto* apply = std::get_if<ApplyShare>(&effect)) {
             if (!this->hasShares)
@@ -207,10 +248,11 @@
             this->traffic.applyShare(apply->share, apply->expiry);
         } else if (const auto* timer = std::get_if<SetShareTimer>(&effect)) {
             this->setShareTimer(timer->when);
-        } else if (const auto* fleet = std::get_if<PublishFleetMembers>(&effect)) {
-            this->handleFleetChange(fleet->vms);
         } else if (this->onStopped) {
             std::exchange(this->onStopped, nullptr)();
+        } else {
+            this->shareLeaseManager.reset();
+            return;
         }
     }
 }
@@ -240,9 +282,15 @@
                 answer(LeaseWriteAnswered { group, attempt, std::move(reply) });
             });
     } else if (const auto* fleet = std::get_if<ReadFleet>(&effect)) {
-        this->table.readRow(
-            ShareLeaseManager::ledgerKey(), [answer, group = fleet->group, attempt = fleet->attempt](TableReply reply) {
-                answer(FleetReadAnswered { group, attempt, std::move(reply) });
+        this->table.readRows(FleetMembership::keyPrefix,
+            [this, guard, answer, group = fleet->group, attempt = fleet->attempt](const TableReply& reply) {
+                FleetReadAnswered read { group, attempt, std::nullopt };
+                if (guard.expired())
+                    return;
+                if (reply.result.status == TableStatus::Done)
+                    read.members = FleetMembership::parseRows(
+                        reply.result.rows, reply.clock.lowerBound(this->timers.now()), this->settings.membership);
+                answer(std::move(read));
             });
     } else if (const auto* revoke = std::get_if<RevokePrimary>(&effect)) {
         this->traffic.revokePrimary(*revoke, answer);
@@ -269,19 +317,20 @@
     }
 }
 
-void FleetControl::handleFleetChange(const std::vector<FleetMember>& vms)
+void FleetControl::handleFleetChange(const PublishMembers& list)
 {
+    std::vector<FleetMember> vms = list.members;
+    markShareHolders(vms, this->settings.shares.ledger);
     this->traffic.setPeers(vms);
     VmsChanged change;
     for (const FleetMember& peer : vms)
         change.vms.push_back(peer.vm);
     this->handlePromotionEvent(change);
-    if (!this->hasJoinedFleet
-        && std::find(change.vms.begin(), change.vms.end(), this->settings.self.vm) != change.vms.end()) {
-        this->hasJoinedFleet = true;
-        if (this->settings.promotion.primaryLease > Duration {})
-            this->readStoredRevocations();
-    }
+    if (!std::exchange(this->hasJoinedFleet, true) && this->settings.promotion.primaryLease > Duration {})
+        this->readStoredRevocations();
+    // While many VMs join at the same time, none of them knows yet which ones are to hold the shares.
+    if (list.settled)
+        this->updateShareHolding(vms);
     const auto own = std::find(change.vms.begin(), change.vms.end(), this->settings.self.vm);
     const FleetPosition now { static_cast<uint32_t>(own - change.vms.begin()),
         static_cast<uint32_t>(change.vms.size()) };
@@ -291,6 +340,27 @@
     this->publishDirectory();
 }
 
+// Starts to hold a share of the limits, or gives it back, as the list of VMs demands.
+void FleetControl::updateShareHolding(const std::vector<FleetMember>& vms)
+{
+    const Instant now = this->timers.now();
+    const bool holds = std::any_of(vms.begin(), vms.end(),
+        [this](const FleetMember& vm) { return vm.vm == this->settings.self.vm && vm.holdsShare; });
+    if (holds && !this->shareLeaseManager) {
+        this->shareLeaseManager.emplace(ShareLedger::Holder { this->settings.self, this->settings.runId },
+            this->settings.shares, this->settings.seed);
+        this->executeShareEffects(this->shareLeaseManager->start(now));
+    }
+    if (holds)
+        return;
+    // A VM without a share serves with tokens that others lend.
+    this->hasShares = true;
+    this->metrics.setLimitShare(0);
+    this->traffic.applyShare(0, now + std::chrono::milliseconds(this->settings.shares.ledger.lifetimeMs));
+    if (this->shareLeaseManager)
+        this->executeShareEffects(this->shareLeaseManager->handle(ShareStopRequested {}, now));
+}
+
 // A promotion stores its revocation before it reads the ledger, so a VM that reads the revocations after it has been
 // listed there misses none.
 void FleetControl::readStoredRevocations()
@@ -328,8 +398,12 @@
 
 void FleetControl::stop(std::function<void()> done)
 {
+    if (!this->shareLeaseManager) {
+        done();
+        return;
+    }
     this->onStopped = std::move(done);
-    this->executeShareEffects(this->shareLeaseManager.handle(ShareStopRequested {}, this->timers.now()));
+    this->executeShareEffects(this->shareLeaseManager->handle(ShareStopRequested {}, this->timers.now()));
 }
 
 } // namespace Lavendervane
--- a/src/Fleet/FleetControl.h
+++ b/src/Fleet/FleetControl.h
@@ -2,6 +2,7 @@
 
 #include "Fleet/Directory.h"
 #include "Fleet/DirectoryFeed.h"
+#include "Fleet/FleetMembership.h"
 #include "Fleet/TableStore.h"
 #include "Limits/ShareLeaseManager.h"
 #include "Promotion/PromotionCoordinator.h"
@@ -23,6 +24,7 @@
     FleetMember self;
     std::string runId; ///< identifies this run of the process
     uint64_t seed = 0; ///< seed of the random delays in renewing the share
+    FleetMembershipSettings membership;
     ShareLeaseSettings shares;
     PromotionCoordinatorSettings promotion;
     /// Time after which an endpoint with a lapsed registration is removed. Registrations that lapse while the store is
@@ -41,6 +43,9 @@
     virtual void setPeers(std::vector<FleetMember>) = 0;
     virtual void announcePromotion(const AnnouncePromotion&) = 0;
 
+    /// Announces this VM to others.
+    virtual void announceMember(const AnnounceMember&) = 0;
+
     /// Starts to obtain a lease on primaries. Called once, after the VM has joined the fleet.
     virtual void startPrimaryLease(std::vector<PrimaryRevocation> stored) = 0;
 
@@ -62,7 +67,7 @@
     FleetControl(const FleetControl&) = delete;
     FleetControl& operator=(const FleetControl&) = delete;
 
-    /// Starts to acquire a share of the limits.
+    /// Starts to join the fleet.
     void start();
 
     void onConfigurationRead(SessionConfiguration) override;
@@ -72,6 +77,9 @@
     /// True once the VM has a configuration, a registry and a share of the limits, so that it can serve callers.
     bool ready() const { return this->configuration && this->hasRegistry && this->hasShares; }
 
+    /// Another VM has joined the fleet.
+    void onMemberAnnounced(const FleetMember&);
+
     /// The traffic thread has learnt of a revocation.
     void onPrimaryRevoked(const PrimaryRevocation&);
 
@@ -84,7 +92,10 @@
 private:
     void publishDirectory();
     void dropLapsedEndpoints();
-    void handleFleetChange(const std::vector<FleetMember>&);
+    void handleMembershipEvent(const MembershipEvent&);
+    void executeMembershipEffect(const MembershipEffect&);
+    void handleFleetChange(const PublishMembers&);
+    void updateShareHolding(const std::vector<FleetMember>&);
     void readStoredRevocations();
     void executeShareEffects(std::vector<ShareEffect>);
     void executePromotionEffect(PromotionEffect&);
@@ -98,7 +109,9 @@
     TrafficPort& traffic;
     StructuredLog& log;
     SessionMetrics& metrics;
-    ShareLeaseManager shareLeaseManager;
+    FleetMembership membership;
+    /// Present while this VM holds a share of the limits, or is to hold one.
+    std::optional<ShareLeaseManager> shareLeaseManager;
     PromotionCoordinator promotionCoordinator;
     std::string digestKey;
     std::shared_ptr<const SessionConfiguration> configuration;
--- a/src/Limits/ShareLeaseManager.cpp
+++ b/src/Limits/ShareLeaseManager.cpp
@@ -40,7 +40,7 @@
     this->exchangeCount = this->settings.earlyExchanges;
     this->heldShare = lease->share;
     this->expiry = now + std::chrono::milliseconds(lease->expiresAtMs - tableNow) - this->clock.uncertainty();
-    return { ApplyShare { this->heldShare, this->expiry }, PublishFleetMembers { this->ledger->members() },
+    return { ApplyShare { this->heldShare, this->expiry },
         SetShareTimer { now + this->randomDuration(this->settings.adoptedWriteJitter) } };
 }
 
@@ -100,15 +100,14 @@
     return now < this->nextWriteAt ? this->renewIfEligible(now) : this->writeLedger(now);
 }
 
-// For a VM without a share, which has nothing to renew: publishes the members, and writes only if the VM is due to hold
-// a share.
+// For a VM without a share, which has nothing to renew: writes only if the VM is due to hold a share.
 std::vector<ShareEffect> ShareLeaseManager::renewIfEligible(Instant now)
 {
     ShareLedger wanted = *this->ledger;
     if (wanted.renew(this->holder, this->clock.lowerBound(now), this->settings.ledger) > 0)
         return this->writeLedger(now);
     this->callInProgress = false;
-    return { PublishFleetMembers { this->ledger->members() }, SetShareTimer { now + this->nextInterval() } };
+    return { SetShareTimer { now + this->nextInterval() } };
 }
 
 // The random part prevents VMs that started together from renewing at the same time.
@@ -180,8 +179,7 @@
     // before the entry expires.
     this->nextWriteAt
         = this->heldShare ? Instant {} : now + std::chrono::milliseconds(this->settings.ledger.lifetimeMs) / 3;
-    return { ApplyShare { this->heldShare, this->expiry }, PublishFleetMembers { this->ledger->members() },
-        SetShareTimer { now + this->nextInterval() } };
+    return { ApplyShare { this->heldShare, this->expiry }, SetShareTimer { now + this->nextInterval() } };
 }
 
 std::vector<ShareEffect> ShareLeaseManager::scheduleRetry(Instant now)
--- a/src/Limits/ShareLeaseManager.h
+++ b/src/Limits/ShareLeaseManager.h
@@ -74,16 +74,10 @@
     Instant when;
 };
 
-/// Effect: publish the VMs that the ledger lists, this VM included.
-struct PublishFleetMembers {
-    std::vector<FleetMember> vms;
-};
-
 /// Effect: `ShareStopRequested` is complete. The share was released, or could not be and is left to expire.
 struct ShareStopCompleted { };
 
-using ShareEffect
-    = std::variant<ReadLedger, WriteLedger, ApplyShare, SetShareTimer, PublishFleetMembers, ShareStopCompleted>;
+using ShareEffect = std::variant<ReadLedger, WriteLedger, ApplyShare, SetShareTimer, ShareStopCompleted>;
 
 /// State machine that obtains and renews this VM's share of the limits in the ledger row. Performs no I/O: events carry
 /// the time and the results, and effects are returned for the caller to execute.
--- a/src/Limits/ShareLedger.cpp
+++ b/src/Limits/ShareLedger.cpp
@@ -1,12 +1,14 @@
 #include "Limits/ShareLedger.h"
 
 #include "Core/Error.h"
+#include "Core/Rendezvous.h"
 #include "Limits/LimitShares.h"
 
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
 #include <set>
+#include <utility>
 
 namespace Lavendervane {
 
@@ -44,6 +46,30 @@
     return Json { { "holders", std::move(holders) } }.dump();
 }
 
+static uint32_t holdersPerDataCentre(size_t dataCentres, const ShareLedger::Settings& settings)
+{
+    return std::max<uint32_t>(1, settings.largeFleetHolders / static_cast<uint32_t>(dataCentres));
+}
+
+// The order of the VMs' hashes is used rather than that of their ids, so that VMs with new ids do not all come first or
+// last.
+void markShareHolders(std::vector<FleetMember>& vms, const ShareLedger::Settings& settings)
+{
+    std::map<DataCentre, std::vector<FleetMember*>> byDataCentre;
+    for (FleetMember& vm : vms)
+        byDataCentre[vm.dataCentre].push_back(&vm);
+    const bool isSmall = vms.size() <= settings.smallFleetSize;
+    for (auto& [dataCentre, members] : byDataCentre) {
+        std::sort(members.begin(), members.end(), [](const FleetMember* left, const FleetMember* right) {
+            return std::make_pair(stableHash(left->vm.str()), left->vm)
+                < std::make_pair(stableHash(right->vm.str()), right->vm);
+        });
+        const size_t holders = isSmall ? members.size() : holdersPerDataCentre(byDataCentre.size(), settings);
+        for (size_t rank = 0; rank < members.size(); ++rank)
+            members[rank]->holdsShare = rank < holders;
+    }
+}
+
 uint64_t ShareLedger::totalShare() const
 {
     uint64_t sum = 0;
@@ -80,8 +106,7 @@
     std::set<DataCentre> dataCentres;
     for (const auto& [other, entry] : this->entries)
         dataCentres.insert(entry.dataCentre);
-    const uint32_t holdersPerDataCentre
-        = std::max<uint32_t>(1, settings.largeFleetHolders / static_cast<uint32_t>(dataCentres.size()));
+    const uint32_t holders = holdersPerDataCentre(dataCentres.size(), settings);
     const Entry& own = this->entries.at(vm);
     // A VM that holds a share keeps it while other VMs join. If a data centre has too many holders, those that come
     // last in the order of VM ids give up their shares.
@@ -90,9 +115,7 @@
         if (other != vm && entry.dataCentre == own.dataCentre && entry.share && (!own.share || other < vm))
             ++holdersAhead;
     }
-    return holdersAhead < holdersPerDataCentre
-        ? fullShare / (holdersPerDataCentre * static_cast<uint32_t>(dataCentres.size()))
-        : 0;
+    return holdersAhead < holders ? fullShare / (holders * static_cast<uint32_t>(dataCentres.size())) : 0;
 }
 
 void ShareLedger::remove(const Holder& holder)
--- a/src/Limits/ShareLedger.h
+++ b/src/Limits/ShareLedger.h
@@ -97,4 +97,8 @@
     std::map<VmId, Entry> entries;
 };
 
+/// Sets `holdsShare` of each VM: all hold shares in a small fleet, and the first VMs of each data centre in a large
+/// one.
+void markShareHolders(std::vector<FleetMember>&, const ShareLedger::Settings&);
+
 } // namespace Lavendervane
--- a/src/Peers/PeerMessages.cpp
+++ b/src/Peers/PeerMessages.cpp
@@ -22,6 +22,7 @@
     ConfirmationReplyKind = 9,
     RevocationRequestKind = 10,
     RevocationReplyKind = 11,
+    MemberAnnouncementKind = 12,
 };
 
 Json encodeRevocation(const PrimaryRevocation& revocation)
@@ -79,6 +80,12 @@
     {
         return { RevocationReplyKind, message.requestId, message.fleetSize };
     }
+    Json operator()(const MemberAnnouncement& message) const
+    {
+        const FleetMember& member = message.member;
+        return { MemberAnnouncementKind, member.vm.str(), member.dataCentre.str(), member.address,
+            member.cpuMillicores };
+    }
 };
 
 } // namespace
@@ -134,6 +141,9 @@
         return RevocationRequest { numberAt(json, 1), revocationAt(json, 2) };
     case RevocationReplyKind:
         return RevocationReply { numberAt(json, 1), numberAt(json, 2) };
+    case MemberAnnouncementKind:
+        return MemberAnnouncement { { VmId(stringAt(json, 1)), DataCentre(stringAt(json, 2)), stringAt(json, 3),
+            json.at(4).get<uint32_t>() } };
     default:
         return std::nullopt; // message of a newer program version
     }
--- a/src/Peers/PeerMessages.h
+++ b/src/Peers/PeerMessages.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Core/Identifiers.h"
+#include "Limits/ShareLedger.h"
 #include "PrimaryLease/PrimaryRevocation.h"
 
 #include <cstdint>
@@ -114,8 +115,16 @@
     friend bool operator==(const RevocationReply&, const RevocationReply&) = default;
 };
 
-using PeerMessage = std::variant<TokenRequest, TokenReply, ReachabilityRequest, ReachabilityReply, PromotionNotice,
-    LeaseRequest, LeaseReply, ConfirmationRequest, ConfirmationReply, RevocationRequest, RevocationReply>;
+/// Announces a VM that has joined the fleet.
+struct MemberAnnouncement {
+    FleetMember member; ///< `holdsShare` is not sent
+
+    friend bool operator==(const MemberAnnouncement&, const MemberAnnouncement&) = default;
+};
+
+using PeerMessage
+    = std::variant<TokenRequest, TokenReply, ReachabilityRequest, ReachabilityReply, PromotionNotice, LeaseRequest,
+        LeaseReply, ConfirmationRequest, ConfirmationReply, RevocationRequest, RevocationReply, MemberAnnouncement>;
 
 /// Encodes a message in CBOR (RFC 8949). The result is shorter than 1,400 bytes.
 std::string encodePeerMessage(const PeerMessage&);
--- a/src/Promotion/PromotionCoordinator.cpp
+++ b/src/Promotion/PromotionCoordinator.cpp
@@ -1,6 +1,5 @@
 #include "Promotion/PromotionCoordinator.h"
 
-#include "Core/Error.h"
 #include "Core/Rendezvous.h"
 
 #include <nlohmann/json.hpp>
@@ -302,25 +301,19 @@
     return last != group.members.end() && !last->second.isPrimary ? EndpointId() : group.lastPrimary;
 }
 
-// The ledger is read after the revocation has been stored with the lease. A VM that is not listed yet reads the stored
+// The list is read after the revocation has been stored with the lease. A VM that is not listed yet reads the stored
 // revocations before it uses any primary.
 std::vector<PromotionEffect> PromotionCoordinator::handleFleetRead(const FleetReadAnswered& event, Instant now)
 {
     Group* group = this->findInPhase(event.group, event.attempt, Phase::ReadingFleet);
     if (!group)
         return {};
-    if (event.reply.result.status != TableStatus::Done || event.reply.result.rows.empty())
-        return this->retryLater(*group, now, "reading the list of VMs failed: " + event.reply.reason);
-    std::vector<FleetMember> members;
-    try {
-        members = ShareLedger::parse(event.reply.result.rows.front().value).members();
-    } catch (const Error& error) {
-        return this->retryLater(*group, now, std::string("the list of VMs is unreadable: ") + error.what());
-    }
+    if (!event.members)
+        return this->retryLater(*group, now, "reading the list of VMs failed");
     const EndpointId revoked = this->endpointToRevoke(*group);
     group->phase = Phase::RevokingPrimary;
     Effects effects { LogPromotionStep { group->name, "revocation_started", revoked.str() },
-        RevokePrimary { group->attempt, { group->name, revoked, group->token }, std::move(members) } };
+        RevokePrimary { group->attempt, { group->name, revoked, group->token }, *event.members } };
     if (!revoked.empty())
         return effects;
     // Nothing has to be waited for; the message only replaces earlier revocations of the group.
--- a/src/Promotion/PromotionMessages.h
+++ b/src/Promotion/PromotionMessages.h
@@ -62,11 +62,12 @@
     TableReply reply;
 };
 
-/// Result of ReadFleet: the row of the share ledger, which lists all VMs that may hold a lease on primaries.
+/// Result of ReadFleet.
 struct FleetReadAnswered {
     GroupId group;
     uint64_t attempt = 0;
-    TableReply reply;
+    /// All VMs that may hold a lease on primaries; nothing if the table could not be read.
+    std::optional<std::vector<FleetMember>> members;
 };
 
 /// Result of RevokePrimary.
@@ -149,7 +150,7 @@
     TableTransaction transaction;
 };
 
-/// Reads the share ledger.
+/// Reads the list of VMs from the platform's table.
 struct ReadFleet {
     GroupId group;
     uint64_t attempt = 0;
--- a/src/Statements/StatementService.cpp
+++ b/src/Statements/StatementService.cpp
@@ -212,6 +212,8 @@
         this->lease.handle(sender, *revocationRequest);
     } else if (const auto* revocationReply = std::get_if<RevocationReply>(&message)) {
         this->lease.handle(sender, *revocationReply);
+    } else if (const auto* announcement = std::get_if<MemberAnnouncement>(&message)) {
+        this->listener.memberAnnounced(announcement->member);
     }
 }
 
@@ -270,6 +272,12 @@
         this->peers.send(address, PromotionNotice { name, endpoint, static_cast<uint64_t>(time.count()) });
 }
 
+void StatementService::announceMember(const FleetMember& member, const std::vector<std::string>& addresses)
+{
+    for (const std::string& address : addresses)
+        this->peers.send(address, MemberAnnouncement { member });
+}
+
 void StatementService::endpointReachabilityChanged(const EndpointId& endpoint, bool reachable)
 {
     this->trafficLog.endpointChanged(endpoint, reachable ? "reachable" : "unreachable");
--- a/src/Statements/StatementService.h
+++ b/src/Statements/StatementService.h
@@ -65,6 +65,9 @@
     /// An endpoint must not be used as the primary of its group any more.
     virtual void primaryRevoked(const PrimaryRevocation&) = 0;
 
+    /// Another VM has joined the fleet.
+    virtual void memberAnnounced(const FleetMember&) = 0;
+
     /// The load balancer should start or stop sending new callers to this VM.
     virtual void acceptsCallersChanged(bool accepts) = 0;
 };
@@ -113,6 +116,9 @@
     /// Asks other VMs whether they reach the endpoint.
     void pollReachability(const GroupId&, const EndpointId&, ReachabilityPoll::Callback);
 
+    /// Announces a VM to others.
+    void announceMember(const FleetMember&, const std::vector<std::string>& addresses);
+
     /// Records that a new primary is expected, and notifies the other VMs.
     void announcePromotion(const GroupId&, const EndpointId&, Duration expectedIn);
 
--- a/tests/Limits/ShareLeaseManagerTest.cpp
+++ b/tests/Limits/ShareLeaseManagerTest.cpp
@@ -72,15 +72,6 @@
         }
     }
 
-    /// Number of members that each VM knows.
-    std::vector<size_t> knownMemberCounts() const
-    {
-        std::vector<size_t> counts;
-        for (const auto& [vm, count] : this->membersKnown)
-            counts.push_back(count);
-        return counts;
-    }
-
     uint64_t tableCalls = 0; ///< calls to the table by all VMs
 
     size_t vmsWithShares() const { return this->vmsThatAppliedShares.size(); }
@@ -105,8 +96,6 @@
                     [this, vm] { this->applyEffects(vm, this->managers[vm].handle(ShareTimerFired {}, this->now)); });
             else if (std::holds_alternative<ApplyShare>(effect))
                 this->vmsThatAppliedShares.insert(vm);
-            else if (const auto* fleet = std::get_if<PublishFleetMembers>(&effect))
-                this->membersKnown[vm] = fleet->vms.size();
         }
     }
 
@@ -141,7 +130,6 @@
     std::deque<ShareLeaseManager> managers;
     std::multimap<Instant, std::function<void()>> events;
     std::set<size_t> vmsThatAppliedShares;
-    std::map<size_t, size_t> membersKnown;
     TableRow row { ShareLeaseManager::ledgerKey(), 0, "" };
     Instant now {};
 };
@@ -161,7 +149,6 @@
         = this->manager.handle(LedgerWriteCompleted { this->reply(TableStatus::Done, 9, "") }, this->now);
     BOOST_REQUIRE(find<ApplyShare>(applied));
     BOOST_TEST(find<ApplyShare>(applied)->share > 0U);
-    BOOST_TEST(find<PublishFleetMembers>(applied)->vms.size() == 1U);
 }
 
 // A share must not be used before the table has confirmed it. A lost response confirms nothing.
@@ -237,8 +224,6 @@
     ShareTableModel model(95);
     model.run(48s);
     BOOST_TEST(model.tableCalls <= 95U * 12U);
-    for (const size_t knownMemberCounts : model.knownMemberCounts())
-        BOOST_TEST(knownMemberCounts == 95U);
 }
 
 BOOST_AUTO_TEST_CASE(Read_MalformedRow_TakesNothing)
--- a/tests/Limits/ShareLedgerTest.cpp
+++ b/tests/Limits/ShareLedgerTest.cpp
@@ -6,6 +6,8 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <map>
+
 using namespace Lavendervane;
 
 BOOST_AUTO_TEST_SUITE(ShareLedgerTest)
@@ -97,4 +99,33 @@
         BOOST_CHECK_THROW(ShareLedger::parse(text), Error);
 }
 
+// In a large fleet an even share would be less than one request, so a few VMs of each data centre hold the whole limit.
+// All VMs must agree on which ones, whatever order they learnt the fleet in.
+BOOST_AUTO_TEST_CASE(MarkShareHolders_LargeFleet_SameTwelveInAnyOrder)
+{
+    std::vector<FleetMember> vms;
+    for (int vm = 0; vm < 95; ++vm)
+        vms.push_back({ VmId("vm-" + std::to_string(vm)), DataCentre("dc-" + std::to_string(vm % 4)), "" });
+    std::vector<FleetMember> reversed(vms.rbegin(), vms.rend());
+    markShareHolders(vms, {});
+    markShareHolders(reversed, {});
+    std::map<DataCentre, int> holders;
+    for (const FleetMember& vm : vms)
+        holders[vm.dataCentre] += vm.holdsShare;
+    BOOST_TEST(holders.size() == 4U);
+    for (const auto& [dataCentre, count] : holders)
+        BOOST_TEST(count == 3);
+    BOOST_TEST((vms == std::vector<FleetMember>(reversed.rbegin(), reversed.rend())));
+}
+
+BOOST_AUTO_TEST_CASE(MarkShareHolders_SmallFleet_AllHold)
+{
+    std::vector<FleetMember> vms;
+    for (int vm = 0; vm < 24; ++vm)
+        vms.push_back({ VmId("vm-" + std::to_string(vm)), DataCentre("dc"), "", 1000, false });
+    markShareHolders(vms, {});
+    for (const FleetMember& vm : vms)
+        BOOST_TEST(vm.holdsShare);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/Peers/PeerMessagesTest.cpp
+++ b/tests/Peers/PeerMessagesTest.cpp
@@ -18,7 +18,8 @@
         LeaseReply { 9, true, 250, { { GroupId("stock"), EndpointId("a"), 41 }, { GroupId("club"), {}, 42 } } },
         LeaseReply { 10, false, 0, {} }, ConfirmationRequest { 11 },
         ConfirmationReply { 11, 12, { { GroupId("stock"), EndpointId("a"), 41 } } },
-        RevocationRequest { 12, { GroupId("stock"), EndpointId("a"), 41 } }, RevocationReply { 12, 12 } };
+        RevocationRequest { 12, { GroupId("stock"), EndpointId("a"), 41 } }, RevocationReply { 12, 12 },
+        MemberAnnouncement { { VmId("vm-1"), DataCentre("dc"), "10.0.0.1:7560", 170 } } };
     for (const PeerMessage& message : messages) {
         const auto decoded = decodePeerMessage(encodePeerMessage(message));
         BOOST_REQUIRE(decoded);
--- a/tests/Promotion/PromotionCoordinatorTest.cpp
+++ b/tests/Promotion/PromotionCoordinatorTest.cpp
@@ -1,7 +1,5 @@
 #include "Promotion/PromotionCoordinator.h"
 
-#include "Limits/ShareLedger.h"
-
 #include <boost/test/unit_test.hpp>
 
 using namespace Lavendervane;
@@ -98,7 +96,8 @@
         this->registry(EndpointRole::Primary, EndpointRole::Replica);
         const uint64_t attempt = this->advanceToStatusQuery();
         BOOST_REQUIRE(this->find<ReadFleet>());
-        this->handle(FleetReadAnswered { stock, attempt, this->reply(TableStatus::Done, 7, ledger()) });
+        this->handle(
+            FleetReadAnswered { stock, attempt, { { { VmId("vm-2"), DataCentre("dc-1"), "10.0.0.2:7560" } } } });
         return attempt;
     }
 
@@ -109,13 +108,6 @@
         return { VmId("vm-1"), "run-1", settings };
     }
 
-    static std::string ledger()
-    {
-        ShareLedger made;
-        made.renew({ { VmId("vm-2"), DataCentre("dc-1"), "10.0.0.2:7560", 1000 }, "run" }, 1000, {});
-        return made.serialise();
-    }
-
     uint32_t synchronousReplicas = 0;
     PromotionCoordinator coordinator { VmId("vm-1"), "run-1", {} };
     Instant now { 100s };
@@ -424,7 +416,7 @@
     this->handle(ReachabilityPolled { stock, attempt, 9, 2, 7 });
     this->handle(LeaseReadAnswered { stock, attempt, this->reply(TableStatus::Done, 0) });
     this->handle(LeaseWriteAnswered { stock, attempt, this->reply(TableStatus::Done, 43) });
-    this->handle(FleetReadAnswered { stock, attempt, this->reply(TableStatus::Done, 7, ledger()) });
+    this->handle(FleetReadAnswered { stock, attempt, { { { VmId("vm-2"), DataCentre("dc-1"), "10.0.0.2:7560" } } } });
     this->handle(PrimaryRevocationFinished { stock, attempt, true });
     this->handle(EndpointStatusesReceived { stock, attempt, { { b, status(50) }, { c, status(51) } } });
     BOOST_REQUIRE(this->find<OrderPromotion>());
--- a/tests/Statements/ServiceFixture.h
+++ b/tests/Statements/ServiceFixture.h
@@ -83,6 +83,7 @@
     }
     void promotionNoticeReceived(const GroupId&) override { }
     void primaryRevoked(const PrimaryRevocation& revocation) override { this->revocations.push_back(revocation); }
+    void memberAnnounced(const FleetMember&) override { }
     void acceptsCallersChanged(bool accepts) override { this->acceptsCallers.push_back(accepts); }
 
     std::vector<std::pair<EndpointId, bool>> reachability;
