Keep the owners of an endpoint below its connection limit

Cause: three owners with a third of an endpoint's connections each used all that it accepts. A connection that replaced one of another organisation, a substitute, or a VM that did not know yet of a change of owners exceeded the limit, and the resets cost the owners connections in use. Owners that lost their part kept their idle connections.

OwnerPlacementTest/ConnectionLimit_AllCandidates_StayBelowEndpointsLimit fails with a third each.

--- a/src/Relay/OwnerPlacement.h
+++ b/src/Relay/OwnerPlacement.h
@@ -31,10 +31,13 @@
     /// already has connections open for it.
     std::vector<FleetMember> candidates(const EndpointId&, const DataCentre&, const OrganisationId&) const;
 
-    /// Returns the maximum number of connections of one owner, at least 1, if the endpoint accepts `connections`.
-    uint32_t connectionsPerOwner(uint32_t connections) const;
+    /// Returns the maximum number of connections of the VM to the endpoint, at least 1, if the endpoint accepts
+    /// `connections` from all VMs together. The owners and substitutes together stay below that number.
+    uint32_t connectionLimit(const VmId&, const EndpointId&, const DataCentre&, uint32_t connections) const;
 
 private:
+    std::vector<FleetMember> rankedCandidates(const EndpointId&, const DataCentre&) const;
+
     OwnerPlacementSettings settings;
     std::vector<FleetMember> members;
 };
--- a/src/Relay/OwnerPools.cpp
+++ b/src/Relay/OwnerPools.cpp
@@ -22,13 +22,13 @@
 uint32_t OwnerPools::connectionLimitOf(const RegisteredEndpoint& endpoint) const
 {
     const GroupDeclaration* group = this->directory->findGroup(endpoint.group);
-    return group ? this->connectionLimit(group->connectionsPerEndpoint) : 1;
+    return group ? this->connectionLimit(endpoint, group->connectionsPerEndpoint) : 1;
 }
 
-void OwnerPools::setDirectory(std::shared_ptr<const Directory> next, std::function<uint32_t(uint32_t)> connectionLimit)
+void OwnerPools::setDirectory(std::shared_ptr<const Directory> next, ConnectionLimit limit)
 {
     this->directory = std::move(next);
-    this->connectionLimit = std::move(connectionLimit);
+    this->connectionLimit = std::move(limit);
     for (auto entry = this->pools.begin(); entry != this->pools.end();) {
         EndpointPool& pool = *entry->second;
         const RegisteredEndpoint* present = findEndpoint(*this->directory, entry->first);
@@ -43,6 +43,12 @@
     }
 }
 
+void OwnerPools::updateConnectionLimits()
+{
+    for (const auto& [id, pool] : this->pools)
+        pool->setConnectionLimit(this->connectionLimitOf(pool->endpoint()));
+}
+
 std::shared_ptr<EndpointPool> OwnerPools::find(const EndpointId& id)
 {
     if (const auto known = this->pools.find(id); known != this->pools.end())
--- a/src/Relay/OwnerPools.h
+++ b/src/Relay/OwnerPools.h
@@ -16,9 +16,14 @@
 public:
     OwnerPools(Timers&, EndpointConnector&, EndpointObserver&);
 
-    /// Applies a new directory. Pools of endpoints that were removed or restarted are retired. `connectionLimit`
-    /// returns the maximum number of connections of one owner for the number that the endpoint accepts.
-    void setDirectory(std::shared_ptr<const Directory>, std::function<uint32_t(uint32_t connections)> connectionLimit);
+    /// Returns the maximum number of connections of this VM to the endpoint, which accepts `connections` in all.
+    using ConnectionLimit = std::function<uint32_t(const RegisteredEndpoint&, uint32_t connections)>;
+
+    /// Applies a new directory. Pools of endpoints that were removed or restarted are retired.
+    void setDirectory(std::shared_ptr<const Directory>, ConnectionLimit);
+
+    /// Applies the connection limits again, after the owners of endpoints may have changed.
+    void updateConnectionLimits();
 
     /// Returns the pool of the endpoint and creates it if necessary, or null if the directory has no such endpoint.
     std::shared_ptr<EndpointPool> find(const EndpointId&);
@@ -33,7 +38,7 @@
     EndpointConnector& connector;
     EndpointObserver& observer;
     std::shared_ptr<const Directory> directory;
-    std::function<uint32_t(uint32_t)> connectionLimit;
+    ConnectionLimit connectionLimit;
     std::map<EndpointId, std::shared_ptr<EndpointPool>> pools;
 };
 
--- a/src/Relay/Relay.cpp
+++ b/src/Relay/Relay.cpp
@@ -204,11 +204,16 @@
 void Relay::setDirectory(const std::shared_ptr<const Directory>& next)
 {
     this->directory = next;
-    this->pools.setDirectory(
-        next, [this](uint32_t connections) { return this->placement.connectionsPerOwner(connections); });
+    this->pools.setDirectory(next, [this](const RegisteredEndpoint& endpoint, uint32_t connections) {
+        return this->placement.connectionLimit(this->selfVm, endpoint.id, endpoint.dataCentre, connections);
+    });
 }
 
-void Relay::setMembers(std::vector<FleetMember> members) { this->placement.setMembers(std::move(members)); }
+void Relay::setMembers(std::vector<FleetMember> members)
+{
+    this->placement.setMembers(std::move(members));
+    this->pools.updateConnectionLimits();
+}
 
 std::shared_ptr<EndpointLink> Relay::connect(const LinkTarget& target, LinkListener& listener)
 {
--- a/src/Statements/EndpointPool.cpp
+++ b/src/Statements/EndpointPool.cpp
@@ -36,7 +36,11 @@
 
 void EndpointPool::update(const RegisteredEndpoint& endpoint) { this->target = endpoint; }
 
-void EndpointPool::setConnectionLimit(uint32_t newLimit) { this->connectionLimit = std::max(1U, newLimit); }
+void EndpointPool::setConnectionLimit(uint32_t newLimit)
+{
+    this->connectionLimit = std::max(1U, newLimit);
+    while (this->connections.size() > this->connectionLimit && this->closeOldestIdleConnection()) { }
+}
 
 uint64_t EndpointPool::acquire(
     const OrganisationId& organisation, uint64_t valuesVersion, Instant deadline, AcquireCallback callback)
--- a/src/Statements/EndpointPool.h
+++ b/src/Statements/EndpointPool.h
@@ -68,7 +68,7 @@
     /// Updates the endpoint's registry entry. The entry must describe the same run of the endpoint.
     void update(const RegisteredEndpoint&);
 
-    /// Sets the maximum number of connections of this VM to the endpoint.
+    /// Sets the maximum number of connections of this VM to the endpoint. Closes idle connections beyond it.
     void setConnectionLimit(uint32_t);
 
     /// Waits for a connection until `deadline`. If several are idle, one with the session values of `valuesVersion` is
--- a/tests/Relay/OwnerPlacementTest.cpp
+++ b/tests/Relay/OwnerPlacementTest.cpp
@@ -61,7 +61,27 @@
     BOOST_TEST(first.size() == 3U);
     for (const auto& [vm, count] : first)
         BOOST_TEST(count >= 72 / 6);
-    BOOST_TEST(3 * this->placement.connectionsPerOwner(52) <= 52U);
+}
+
+// An endpoint resets connections beyond the number that it accepts. Owners, substitutes and connections that are being
+// replaced must stay within it, and the owners must get most of it.
+BOOST_AUTO_TEST_CASE(ConnectionLimit_AllCandidates_StayBelowEndpointsLimit)
+{
+    for (const uint32_t accepted : { 36U, 52U, 135U, 430U }) {
+        uint32_t sum = 0;
+        uint32_t ofOwners = 0;
+        const auto found = this->candidates("a", "o");
+        for (size_t rank = 0; rank < found.size(); ++rank) {
+            const uint32_t limit
+                = this->placement.connectionLimit(found[rank].vm, EndpointId("a"), DataCentre("dc-1"), accepted);
+            sum += limit;
+            ofOwners += rank < 3 ? limit : 0;
+        }
+        BOOST_TEST(sum < accepted);
+        BOOST_TEST(ofOwners * 10 >= accepted * 8);
+    }
+    const VmId other("vm-0");
+    BOOST_TEST(this->placement.connectionLimit(other, EndpointId("a"), DataCentre("dc-1"), 135) == 1U);
 }
 
 // VMs must own endpoints in proportion to their processor share: the two large VMs of the data centre have 1,000 of its
