Release shares for certain when a fleet outgrows them

Cause: a fleet that grew from 18 to 26 VMs passed the number up to which all VMs hold shares of the limits.

Change: a VM that goes on without a share repeats the release until the table has confirmed it, also if a renewal is under way; the holders divide the shares anew within 3 s of a change.

ShareLeaseManagerTest/ Stop_Repeated... fail when a conflict ends the release.

--- a/src/Fleet/FleetControl.cpp
+++ b/src/Fleet/FleetControl.cpp
@@ -252,6 +252,8 @@
             std::exchange(this->onStopped, nullptr)();
         } else {
             this->shareLeaseManager.reset();
+            if (this->shareHolders.count(this->settings.self.vm))
+                this->startShareLease();
             return;
         }
     }
@@ -340,17 +342,29 @@
     this->publishDirectory();
 }
 
+void FleetControl::startShareLease()
+{
+    this->shareLeaseManager.emplace(
+        ShareLedger::Holder { this->settings.self, this->settings.runId }, this->settings.shares, this->settings.seed);
+    this->executeShareEffects(this->shareLeaseManager->start(this->timers.now()));
+}
+
 // Starts to hold a share of the limits, or gives it back, as the list of VMs demands.
 void FleetControl::updateShareHolding(const std::vector<FleetMember>& vms)
 {
     const Instant now = this->timers.now();
-    const bool holds = std::any_of(vms.begin(), vms.end(),
-        [this](const FleetMember& vm) { return vm.vm == this->settings.self.vm && vm.holdsShare; });
+    std::set<VmId> holders;
+    for (const FleetMember& vm : vms) {
+        if (vm.holdsShare)
+            holders.insert(vm.vm);
+    }
+    const bool holds = holders.count(this->settings.self.vm) > 0;
     if (holds && !this->shareLeaseManager) {
-        this->shareLeaseManager.emplace(ShareLedger::Holder { this->settings.self, this->settings.runId },
-            this->settings.shares, this->settings.seed);
-        this->executeShareEffects(this->shareLeaseManager->start(now));
+        this->startShareLease();
+    } else if (holds && holders != this->shareHolders) {
+        this->executeShareEffects(this->shareLeaseManager->handle(ShareHoldersChanged {}, now));
     }
+    this->shareHolders = holders;
     if (holds)
         return;
     // A VM without a share serves with tokens that others lend.
@@ -358,7 +372,7 @@
     this->metrics.setLimitShare(0);
     this->traffic.applyShare(0, now + std::chrono::milliseconds(this->settings.shares.ledger.lifetimeMs));
     if (this->shareLeaseManager)
-        this->executeShareEffects(this->shareLeaseManager->handle(ShareStopRequested {}, now));
+        this->executeShareEffects(this->shareLeaseManager->handle(ShareStopRequested { true }, now));
 }
 
 // A promotion stores its revocation before it reads the ledger, so a VM that reads the revocations after it has been
--- a/src/Fleet/FleetControl.h
+++ b/src/Fleet/FleetControl.h
@@ -13,6 +13,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -95,6 +96,7 @@
     void handleMembershipEvent(const MembershipEvent&);
     void executeMembershipEffect(const MembershipEffect&);
     void handleFleetChange(const PublishMembers&);
+    void startShareLease();
     void updateShareHolding(const std::vector<FleetMember>&);
     void readStoredRevocations();
     void executeShareEffects(std::vector<ShareEffect>);
@@ -112,6 +114,7 @@
     FleetMembership membership;
     /// Present while this VM holds a share of the limits, or is to hold one.
     std::optional<ShareLeaseManager> shareLeaseManager;
+    std::set<VmId> shareHolders; ///< VMs that are to hold shares
     PromotionCoordinator promotionCoordinator;
     std::string digestKey;
     std::shared_ptr<const SessionConfiguration> configuration;
--- a/src/Limits/ShareLeaseManager.cpp
+++ b/src/Limits/ShareLeaseManager.cpp
@@ -57,12 +57,14 @@
         return this->onLedgerWritten(*writeCompleted, now);
     if (std::holds_alternative<ShareTimerFired>(event))
         return this->onTimerFired(now);
-    return this->onStopRequested(now);
+    if (std::holds_alternative<ShareHoldersChanged>(event))
+        return this->onHoldersChanged(now);
+    return this->onStopRequested(std::get<ShareStopRequested>(event), now);
 }
 
 std::vector<ShareEffect> ShareLeaseManager::onTimerFired(Instant now)
 {
-    if (this->callInProgress || this->stopping)
+    if (this->callInProgress || (this->stopping && !this->repeatsStop))
         return {};
     this->callInProgress = true;
     if (!this->initialReadDone || !this->ledger || now < this->nextWriteAt)
@@ -91,10 +93,12 @@
 
 std::vector<ShareEffect> ShareLeaseManager::onLedgerRead(const LedgerReadCompleted& event, Instant now)
 {
-    if (this->stopping)
+    if (this->stopping && !this->repeatsStop)
         return { ShareStopCompleted {} };
     if (event.reply.result.status != TableStatus::Done || !this->loadLedger(event.reply))
         return this->scheduleRetry(now);
+    if (this->stopping)
+        return this->writeLedger(now);
     if (!this->initialReadDone)
         return this->adoptEarlierShare(now);
     return now < this->nextWriteAt ? this->renewIfEligible(now) : this->writeLedger(now);
@@ -147,7 +151,10 @@
 std::vector<ShareEffect> ShareLeaseManager::onLedgerWritten(const LedgerWriteCompleted& event, Instant now)
 {
     const TableStatus status = event.reply.result.status;
-    if (this->stopping)
+    // The write that was under way when the stop was requested may have renewed the share.
+    const bool isReleased
+        = status == TableStatus::Done && !this->pendingLedger.findLease(this->holder.member.vm).has_value();
+    if (this->stopping && (!this->repeatsStop || isReleased))
         return { ShareStopCompleted {} };
     if (status == TableStatus::Conflict) {
         if (!this->loadLedger(event.reply))
@@ -170,6 +177,8 @@
     this->ledger = this->pendingLedger;
     this->revision = event.reply.revision;
     this->clock = event.reply.clock;
+    if (this->stopping)
+        return this->writeLedger(now);
     this->heldShare = this->pendingShare;
     this->expiry = this->pendingExpiry;
     this->retryDelay = {};
@@ -189,12 +198,24 @@
     return { SetShareTimer { now + this->retryDelay + this->randomDuration(this->settings.minRetryDelay) } };
 }
 
-std::vector<ShareEffect> ShareLeaseManager::onStopRequested(Instant now)
+std::vector<ShareEffect> ShareLeaseManager::onStopRequested(const ShareStopRequested& request, Instant now)
 {
     this->stopping = true;
+    this->repeatsStop = request.isRepeated;
+    if (this->repeatsStop && (this->callInProgress || !this->ledger))
+        return this->callInProgress ? Effects {} : this->onTimerFired(now);
     if (this->callInProgress || !this->ledger)
         return { ShareStopCompleted {} }; // The next run of this VM takes over the share.
+    this->callInProgress = true;
     return this->writeLedger(now);
 }
 
+std::vector<ShareEffect> ShareLeaseManager::onHoldersChanged(Instant now)
+{
+    this->exchangeCount = 0;
+    if (this->callInProgress || this->stopping)
+        return {};
+    return { SetShareTimer { now + this->randomDuration(this->settings.earlyInterval) } };
+}
+
 } // namespace Lavendervane
--- a/src/Limits/ShareLeaseManager.h
+++ b/src/Limits/ShareLeaseManager.h
@@ -50,10 +50,19 @@
 /// The timer set by `SetShareTimer` has expired.
 struct ShareTimerFired { };
 
-/// The process is about to stop and releases its share.
-struct ShareStopRequested { };
+/// The VM releases its share.
+struct ShareStopRequested {
+    /// True if the VM goes on without a share. The release is then repeated until the table has confirmed it, because
+    /// the share would otherwise be lost to all VMs for its lifetime. A process that is about to end does not wait; its
+    /// next run takes over the share.
+    bool isRepeated = false;
+};
+
+/// The VMs that hold shares may have changed, so shares are soon to be divided anew.
+struct ShareHoldersChanged { };
 
-using ShareEvent = std::variant<LedgerReadCompleted, LedgerWriteCompleted, ShareTimerFired, ShareStopRequested>;
+using ShareEvent
+    = std::variant<LedgerReadCompleted, LedgerWriteCompleted, ShareTimerFired, ShareStopRequested, ShareHoldersChanged>;
 
 /// Effect: read the ledger row from the table.
 struct ReadLedger { };
@@ -99,7 +108,8 @@
     Effects onLedgerRead(const LedgerReadCompleted&, Instant now);
     Effects onLedgerWritten(const LedgerWriteCompleted&, Instant now);
     Effects onTimerFired(Instant now);
-    Effects onStopRequested(Instant now);
+    Effects onStopRequested(const ShareStopRequested&, Instant now);
+    Effects onHoldersChanged(Instant now);
     Effects writeLedger(Instant now);
     Effects scheduleRetry(Instant now);
     Effects renewIfEligible(Instant now);
@@ -123,6 +133,7 @@
     bool callInProgress = false; ///< a call to the table is in progress
     bool initialReadDone = false; ///< the first read of the ledger has succeeded
     bool stopping = false;
+    bool repeatsStop = false; ///< while stopping, the release is repeated until it is confirmed
     uint32_t exchangeCount = 0; ///< successful exchanges
     Duration retryDelay {}; ///< last delay after a failed exchange; 0 after a committed write
     Duration conflictDelay {}; ///< last upper bound of the backoff after a conflict; 0 after a committed write
--- a/tests/Limits/ShareLeaseManagerTest.cpp
+++ b/tests/Limits/ShareLeaseManagerTest.cpp
@@ -261,4 +261,52 @@
     BOOST_TEST(find<ShareStopCompleted>(left));
 }
 
+// When a fleet grows beyond the number of VMs that hold shares, several VMs release theirs at the same time and their
+// writes conflict. A share that stays in the ledger is lost to all VMs until it expires.
+BOOST_AUTO_TEST_CASE(Stop_RepeatedWithConflictAndLostAnswer_EndsWhenReleased)
+{
+    this->firstWrite();
+    this->manager.handle(LedgerWriteCompleted { this->reply(TableStatus::Done, 9, "") }, this->now);
+    BOOST_REQUIRE(find<WriteLedger>(this->manager.handle(ShareStopRequested { true }, this->now + 5s)));
+    ShareLedger present;
+    present.renew({ { VmId("vm-1"), DataCentre("dc"), "" }, "run-1" }, 5000, {});
+    const auto conflict = this->manager.handle(
+        LedgerWriteCompleted { this->reply(TableStatus::Conflict, 12, present.serialise()) }, this->now + 5s);
+    BOOST_TEST(!find<ShareStopCompleted>(conflict));
+    BOOST_REQUIRE(find<SetShareTimer>(conflict));
+    BOOST_REQUIRE(find<WriteLedger>(this->manager.handle(ShareTimerFired {}, this->now + 6s)));
+    const auto lost
+        = this->manager.handle(LedgerWriteCompleted { this->reply(TableStatus::Unknown, 0, "") }, this->now + 7s);
+    BOOST_TEST(!find<ShareStopCompleted>(lost));
+    BOOST_REQUIRE(find<ReadLedger>(this->manager.handle(ShareTimerFired {}, this->now + 9s)));
+    const auto writing = this->manager.handle(
+        LedgerReadCompleted { this->reply(TableStatus::Done, 13, present.serialise()) }, this->now + 9s);
+    BOOST_REQUIRE(find<WriteLedger>(writing));
+    BOOST_TEST((ShareLedger::parse(find<WriteLedger>(writing)->transaction.writes.front().value) == ShareLedger()));
+    BOOST_TEST(find<ShareStopCompleted>(
+        this->manager.handle(LedgerWriteCompleted { this->reply(TableStatus::Done, 14, "") }, this->now + 9s)));
+}
+
+// The same if a renewal is under way when the release is requested.
+BOOST_AUTO_TEST_CASE(Stop_RepeatedDuringRenewal_ReleasesAfterIt)
+{
+    this->firstWrite();
+    BOOST_TEST(this->manager.handle(ShareStopRequested { true }, this->now).empty());
+    const auto effects
+        = this->manager.handle(LedgerWriteCompleted { this->reply(TableStatus::Done, 9, "") }, this->now);
+    BOOST_TEST(!find<ApplyShare>(effects));
+    BOOST_REQUIRE(find<WriteLedger>(effects));
+    BOOST_TEST((ShareLedger::parse(find<WriteLedger>(effects)->transaction.writes.front().value) == ShareLedger()));
+}
+
+// Shares that other VMs have released must not stay unused until the next regular renewal.
+BOOST_AUTO_TEST_CASE(HoldersChanged_ShareHeld_RenewsWithinThreeSeconds)
+{
+    this->firstWrite();
+    this->manager.handle(LedgerWriteCompleted { this->reply(TableStatus::Done, 9, "") }, this->now);
+    const auto effects = this->manager.handle(ShareHoldersChanged {}, this->now + 60s);
+    BOOST_REQUIRE(find<SetShareTimer>(effects));
+    BOOST_TEST((find<SetShareTimer>(effects)->when <= this->now + 63s));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
