Keep a primary revoked until its successor is registered

A primary had been cut off from the store, its registration had expired, it was revoked, and its successor was ordered. Before the promotion took effect the old primary registered again as primary. The promoting VM ended its attempt, took the primary for one that is leaving, and its next attempt lifted the revocation: VMs used the old primary while the new one took the lead.

Change: a revoked primary that registers again does not end the attempt, and each further attempt revokes it again.

PromotionCoordinatorTest/Unfenced_RevokedPrimaryRegistersAgainDuringOrder_... and Unfenced_NextAttemptWithRevokedPrimaryReachable_... failed before. Fenced deployments have no revoked primaries; nothing changes there.

--- a/src/Promotion/PromotionCoordinator.cpp
+++ b/src/Promotion/PromotionCoordinator.cpp
@@ -139,9 +139,10 @@
             if (!primary.empty())
                 group.lastPrimary = primary;
             group.primaryUnreachable = false;
-            group.hasUnconfirmedOrder = false;
-            // The registry shows no primary between a step-down and the promotion; that must not end the attempt.
-            if (!primary.empty()) {
+            // The registry shows no primary between a step-down and the promotion, or shows the old one again; that
+            // must not end the attempt.
+            if (!primary.empty() && primary != group.revokedPrimary) {
+                group.hasUnconfirmedOrder = false;
                 group.phase = Phase::Idle;
                 ++group.attempt;
             }
@@ -290,10 +291,12 @@
 }
 
 // A leaving primary is told to step down and refuses work itself. One that the registry shows as a replica does so too.
-// Otherwise the old primary may go on, even if the registry does not list it any more.
+// Otherwise the old primary may go on, even if the registry does not list it any more. A primary that is revoked stays
+// so, because an order of an earlier attempt may still be carried out.
 EndpointId PromotionCoordinator::endpointToRevoke(const Group& group) const
 {
-    if (group.oldPrimaryIsLeaving)
+    const bool isRevoked = !group.primary.empty() && group.primary == group.revokedPrimary;
+    if (group.oldPrimaryIsLeaving && !isRevoked)
         return {};
     if (!group.primary.empty())
         return group.primary;
--- a/tests/Promotion/PromotionCoordinatorTest.cpp
+++ b/tests/Promotion/PromotionCoordinatorTest.cpp
@@ -392,6 +392,46 @@
     BOOST_TEST((this->coordinator.primaryOf(stock) == b));
 }
 
+// While an order is being carried out, the old primary may register again as primary. That must neither end the attempt
+// nor lift the revocation, since VMs would use the old primary while the new one takes the lead.
+BOOST_AUTO_TEST_CASE(Unfenced_RevokedPrimaryRegistersAgainDuringOrder_StaysRevoked)
+{
+    const uint64_t attempt = this->advanceToRevocation();
+    this->handle(PrimaryRevocationLearnt { { stock, a, 41 } });
+    this->handle(PrimaryRevocationFinished { stock, attempt, true });
+    this->handle(EndpointStatusesReceived { stock, attempt, { { b, status(50) }, { c, status(49) } } });
+    this->handle(RegistryUpdated { { endpoint(b, EndpointRole::Replica), endpoint(c, EndpointRole::Replica) }, {} });
+    this->handle(PromotionOrderAnswered { stock, attempt, PromotionOrderStatus::Accepted });
+    const SetPromotionTimer waiting = this->timer;
+    this->registry(EndpointRole::Primary, EndpointRole::Replica);
+    BOOST_TEST(!this->find<SetPromotionTimer>());
+    BOOST_TEST(this->timer.attempt == waiting.attempt);
+    this->registry(EndpointRole::Primary, EndpointRole::Primary);
+    BOOST_TEST((this->coordinator.primaryOf(stock) == b));
+}
+
+// If the order is lost, the next attempt must revoke the old primary again although it is reachable and would step
+// down.
+BOOST_AUTO_TEST_CASE(Unfenced_NextAttemptWithRevokedPrimaryReachable_RevokesItAgain)
+{
+    this->coordinator = makeUnfencedCoordinator();
+    this->handle(VmsChanged { { VmId("vm-1") } });
+    this->registry(EndpointRole::Primary, EndpointRole::Replica);
+    this->handle(PrimaryRevocationLearnt { { stock, a, 41 } });
+    this->fireTimer();
+    BOOST_REQUIRE(this->find<ReadLease>());
+    const uint64_t attempt = this->find<ReadLease>()->attempt;
+    this->handle(LeaseReadAnswered { stock, attempt, this->reply(TableStatus::Done, 0) });
+    BOOST_REQUIRE(this->find<WriteLease>());
+    const RowWrite write = this->find<WriteLease>()->transaction.writes.front();
+    BOOST_TEST(PromotionCoordinator::storedRevocation({ write.key, 43, write.value })->endpoint == a);
+    this->handle(LeaseWriteAnswered { stock, attempt, this->reply(TableStatus::Done, 43) });
+    this->handle(FleetReadAnswered { stock, attempt, { { { VmId("vm-2"), DataCentre("dc-1"), "10.0.0.2:7560" } } } });
+    BOOST_REQUIRE(this->find<RevokePrimary>());
+    BOOST_TEST((this->find<RevokePrimary>()->revocation == PrimaryRevocation { stock, a, 43 }));
+    BOOST_TEST(!this->find<QueryEndpointStatuses>());
+}
+
 // A VM that starts while both endpoints are registered as primary learns from the table which one was replaced.
 BOOST_AUTO_TEST_CASE(Unfenced_RevocationLearntAfterRegistry_ChangesPrimary)
 {
