Log the revisions at which feeds of the store go on

The logs could not tell whether a feed that reports nothing waits at an outdated revision, on a dead connection, or had its answer discarded. They now name the revision after which changes are requested, reads of whole tables, lost history and configurations that are ignored as older; the generation that the store sends with its answers is logged and a metric. No decision depends on it yet.

--- a/src/Fleet/DirectoryFeed.h
+++ b/src/Fleet/DirectoryFeed.h
@@ -2,11 +2,23 @@
 
 #include "Fleet/Directory.h"
 
+#include <cstdint>
 #include <string>
 #include <vector>
 
 namespace Lavendervane {
 
+/// Step of following a table, for logs.
+struct FeedStep {
+    /// "table_read": all rows were read. "resumed": changes are requested again after failed calls. "history_lost": the
+    /// store no longer keeps the changes after the known revision.
+    std::string name;
+    std::string table;
+    uint64_t after = 0; ///< revision after which changes are known to be missing
+    uint64_t revision = 0; ///< newest revision of the store; 0 if it has not answered
+    uint64_t generation = 0; ///< generation of the store's content; 0 if it is not reported
+};
+
 /// Receives configuration and registry. Called on the control thread.
 class DirectoryListener {
 public:
@@ -20,6 +32,8 @@
 
     /// The source has become unavailable (`reason` says why) or available again (`reason` is empty).
     virtual void onSourceAvailabilityChanged(const std::string& reason) = 0;
+
+    virtual void onFeedStep(const FeedStep&) = 0;
 };
 
 /// Source of configuration and registry.
--- a/src/Fleet/FleetControl.cpp
+++ b/src/Fleet/FleetControl.cpp
@@ -106,8 +106,13 @@
 
 void FleetControl::onConfigurationRead(SessionConfiguration read)
 {
-    if (this->configuration && read.version <= this->configuration->version)
+    if (this->configuration && read.version <= this->configuration->version) {
+        if (read.version < this->configuration->version)
+            this->log.write("configuration_ignored",
+                { { "version", std::to_string(read.version) },
+                    { "newer_version", std::to_string(this->configuration->version) } });
         return;
+    }
     this->log.write("configuration_applied",
         { { "version", std::to_string(read.version) }, { "routes", std::to_string(read.routes.size()) },
             { "organisations", std::to_string(read.organisations.size()) } });
@@ -192,6 +197,15 @@
         this->log.write("dependency_lost", { { "dependency", "store" }, { "reason", reason } });
 }
 
+void FleetControl::onFeedStep(const FeedStep& step)
+{
+    if (step.generation)
+        this->metrics.setStoreGeneration(step.generation);
+    this->log.write("feed_" + step.name,
+        { { "table", step.table }, { "after", std::to_string(step.after) },
+            { "revision", std::to_string(step.revision) }, { "generation", std::to_string(step.generation) } });
+}
+
 void FleetControl::publishDirectory()
 {
     if (!this->configuration || !this->hasRegistry)
--- a/src/Fleet/FleetControl.h
+++ b/src/Fleet/FleetControl.h
@@ -74,6 +74,7 @@
     void onConfigurationRead(SessionConfiguration) override;
     void onRegistryRead(std::vector<RegisteredEndpoint>) override;
     void onSourceAvailabilityChanged(const std::string& reason) override;
+    void onFeedStep(const FeedStep&) override;
 
     /// True once the VM has a configuration, a registry and a share of the limits, so that it can serve callers.
     bool ready() const { return this->configuration && this->hasRegistry && this->hasShares; }
--- a/src/Fleet/TableStore.h
+++ b/src/Fleet/TableStore.h
@@ -34,6 +34,9 @@
 struct TableReply {
     TableResult result;
     uint64_t revision = 0; ///< newest revision in the table when it answered
+    /// Generation of the table's content, which rises when the store is restored from an older copy. Revisions are
+    /// comparable within one generation only. Zero if the store does not report generations.
+    uint64_t generation = 0;
     TableClock clock; ///< valid unless the status is NotSent or Unknown
     std::string reason; ///< reason for a failure
 };
--- a/src/Http/HttpConnection.cpp
+++ b/src/Http/HttpConnection.cpp
@@ -28,6 +28,23 @@
 
 static constexpr uint64_t responseBodyLimit = 16 * 1024 * 1024; // bytes
 
+std::string_view HttpExchange::header(std::string_view name) const
+{
+    for (const HttpHeader& header : this->headers) {
+        if (beast::iequals({ header.name.data(), header.name.size() }, { name.data(), name.size() }))
+            return header.value;
+    }
+    return {};
+}
+
+static std::vector<HttpHeader> copyHeaders(const HttpResponse& response)
+{
+    std::vector<HttpHeader> headers;
+    for (const auto& field : response)
+        headers.push_back({ std::string(field.name_string()), std::string(field.value()) });
+    return headers;
+}
+
 class HttpConnection::Implementation : public std::enable_shared_from_this<HttpConnection::Implementation> {
 public:
     Implementation(asio::io_context& context, std::string address)
@@ -133,8 +150,9 @@
                 HttpResponse response = self->parser->release();
                 if (!response.keep_alive())
                     self->close();
-                self->finish(
-                    { ExchangeStatus::Answered, response.result_int(), std::move(response.body()), "", false });
+                auto headers = copyHeaders(response);
+                self->finish({ ExchangeStatus::Answered, response.result_int(), std::move(response.body()), "", false,
+                    std::move(headers) });
             });
     }
 
--- a/src/Http/HttpConnection.h
+++ b/src/Http/HttpConnection.h
@@ -6,6 +6,8 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
+#include <vector>
 
 namespace Lavendervane {
 
@@ -17,6 +19,12 @@
     Broken, ///< the connection failed after the request may have been sent in whole or in part
 };
 
+/// Header field of an answer.
+struct HttpHeader {
+    std::string name;
+    std::string value;
+};
+
 /// Result of one request to an HTTP peer.
 struct HttpExchange {
     ExchangeStatus status = ExchangeStatus::ConnectFailed;
@@ -24,6 +32,10 @@
     std::string body;
     std::string reason; ///< error message; empty if answered
     bool connectionRefused = false; ///< the peer's host refused the connection, because nothing listens on the port
+    std::vector<HttpHeader> headers {};
+
+    /// Returns the value of the first header with this name, in upper or lower case; empty if there is none.
+    std::string_view header(std::string_view name) const;
 };
 
 using HttpExchangeCallback = std::function<void(HttpExchange)>;
--- a/src/Metrics/SessionMetrics.cpp
+++ b/src/Metrics/SessionMetrics.cpp
@@ -49,6 +49,8 @@
         , limitShare(addGauge(registry, "lavendervane_limit_share_ratio", "Part of every limit that this VM holds"))
         , storeAvailable(
               addGauge(registry, "lavendervane_store_available", "1 if the platform's store answered last, else 0"))
+        , storeGeneration(addGauge(registry, "lavendervane_store_generation",
+              "Generation of the store's content; rises when the store is restored from an older copy"))
     {
     }
 
@@ -69,6 +71,7 @@
     Gauge& configurationVersion;
     Gauge& limitShare;
     Gauge& storeAvailable;
+    Gauge& storeGeneration;
 };
 
 SessionMetrics::SessionMetrics(prometheus::Registry& registry)
@@ -107,6 +110,11 @@
 
 void SessionMetrics::setStoreAvailable(bool available) { this->families->storeAvailable.Set(available ? 1 : 0); }
 
+void SessionMetrics::setStoreGeneration(uint64_t generation)
+{
+    this->families->storeGeneration.Set(static_cast<double>(generation));
+}
+
 void SessionMetrics::promotionOrdered(std::string_view result)
 {
     this->families->promotions.Add({ { "result", std::string(result) } }).Increment();
--- a/src/Metrics/SessionMetrics.h
+++ b/src/Metrics/SessionMetrics.h
@@ -37,6 +37,9 @@
 
     void setStoreAvailable(bool);
 
+    /// Sets the generation of the store's content, which rises when the store is restored from an older copy.
+    void setStoreGeneration(uint64_t);
+
     /// Counts an order to promote an endpoint. `result` is the outcome of the order.
     void promotionOrdered(std::string_view result);
 
