Show that feeds miss changes of a restored store

A stand-in of the store loses what it acknowledged after a copy and assigns the same versions again.

--- /dev/null
+++ b/tests/Adapter/DirectorySourceTest.cpp
@@ -0,0 +1,142 @@
+#include "DirectorySource.h"
+#include "StoreStandIn.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <chrono>
+#include <functional>
+#include <string>
+#include <vector>
+
+using namespace Lavendervane;
+using namespace Lavendervane::Adapter;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// Records what a source reports.
+class RecordingListener : public DirectoryListener {
+public:
+    void onConfigurationRead(SessionConfiguration read) override { this->configurationVersion = read.version; }
+    void onRegistryRead(std::vector<RegisteredEndpoint> read) override { this->endpoints = std::move(read); }
+    void onSourceAvailabilityChanged(const std::string&) override { }
+    void onFeedStep(const FeedStep& step) override { this->steps.push_back(step); }
+
+    uint64_t configurationVersion = 0; ///< version that was read last
+    std::vector<RegisteredEndpoint> endpoints;
+    std::vector<FeedStep> steps;
+};
+
+std::string configurationText(uint64_t version)
+{
+    return R"({"version":)" + std::to_string(version) + R"(,"routes":[],"services":[]})";
+}
+
+std::string entryText(const std::string& state, const std::string& role, uint64_t sequence)
+{
+    return R"({"service":"g-1","address":"10.128.0.9:8080","zone":"a","version":"v1","slots":2,"state":")" + state
+        + R"(","cold_remaining_ms":0,"db_role":")" + role + R"(","sequence":)" + std::to_string(sequence)
+        + R"(,"born":1700000000000})";
+}
+
+/// A source that follows a store whose copy holds version 4 of the configuration, while version 8 is in force.
+struct DirectorySourceFixture {
+    DirectorySourceFixture()
+    {
+        this->store.put("op", "config", configurationText(4));
+        this->store.put("servers", "i-1", entryText("ready", "primary", 1));
+        this->store.saveCopy();
+        this->source.start(this->listener);
+        this->waitFor([this] { return this->listener.configurationVersion == 4 && !this->listener.endpoints.empty(); });
+        this->store.put("op", "config", configurationText(8));
+        this->store.put("servers", "i-1", entryText("draining", "primary", 2));
+        this->waitFor([this] { return this->listener.configurationVersion == 8 && this->isDraining(); });
+    }
+
+    bool isDraining() const { return this->listener.endpoints.size() == 1 && this->listener.endpoints[0].draining; }
+
+    void writeOtherRows(size_t count)
+    {
+        for (size_t row = 0; row < count; ++row)
+            this->store.put("status", "row", std::to_string(row));
+    }
+
+    void waitFor(const std::function<bool()>& condition)
+    {
+        const auto deadline = std::chrono::steady_clock::now() + 3s;
+        while (!condition() && std::chrono::steady_clock::now() < deadline)
+            this->context.run_one_for(50ms);
+        BOOST_TEST(condition());
+    }
+
+    void runFor(std::chrono::milliseconds duration)
+    {
+        const auto end = std::chrono::steady_clock::now() + duration;
+        while (std::chrono::steady_clock::now() < end)
+            this->context.run_one_for(10ms);
+    }
+
+    boost::asio::io_context context;
+    StoreStandIn store { context };
+    StoreClient client { context, store.address() };
+    DirectorySource source { context, client };
+    RecordingListener listener;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(DirectorySourceTest, DirectorySourceFixture)
+
+// Guards against a change that is never seen, because it was stored at a revision below the one already known.
+BOOST_AUTO_TEST_CASE(
+    Store_RestoredAndPastKnownRevision_ReportsNewConfiguration, *boost::unit_test::expected_failures(1))
+{
+    const uint64_t known = this->store.version();
+    this->store.goAway();
+    this->store.restore();
+    this->store.put("op", "config", configurationText(15));
+    this->writeOtherRows(known);
+    this->store.comeBack();
+    this->waitFor([this] { return this->listener.configurationVersion == 15; });
+}
+
+// Guards against an endpoint that goes on getting work, because its entry was stored below the known revision.
+BOOST_AUTO_TEST_CASE(Store_RestoredAndPastKnownRevision_ReportsChangedEndpoint, *boost::unit_test::expected_failures(1))
+{
+    const uint64_t known = this->store.version();
+    this->store.goAway();
+    this->store.restore();
+    this->store.put("servers", "i-1", entryText("draining", "replica", 4));
+    this->writeOtherRows(known);
+    this->store.comeBack();
+    this->waitFor([this] {
+        return this->listener.endpoints.size() == 1 && this->listener.endpoints[0].role == EndpointRole::Replica;
+    });
+}
+
+// Guards against a feed that waits at a revision of the lost history on a connection that has survived the restore.
+BOOST_AUTO_TEST_CASE(Store_RestoredWhileFeedsWait_ReportsNewConfiguration, *boost::unit_test::expected_failures(1))
+{
+    this->runFor(300ms);
+    const uint64_t known = this->store.version();
+    this->store.restore();
+    this->store.put("op", "config", configurationText(15));
+    this->writeOtherRows(known);
+    this->store.put("servers", "i-2", entryText("ready", "replica", 1));
+    this->waitFor([this] { return this->listener.configurationVersion == 15; });
+}
+
+// Guards against a feed that goes on after a revision that the restored store has not reached yet.
+BOOST_AUTO_TEST_CASE(Store_RestoredAndBelowKnownRevision_ReportsNewConfiguration)
+{
+    this->store.goAway();
+    this->store.restore();
+    this->store.reportsGeneration = false;
+    this->store.comeBack();
+    this->runFor(500ms);
+    this->store.put("op", "config", configurationText(15));
+    this->waitFor([this] { return this->listener.configurationVersion == 15; });
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/Adapter/StoreStandIn.cpp
@@ -0,0 +1,145 @@
+#include "StoreStandIn.h"
+
+#include "StoreClient.h"
+
+#include <nlohmann/json.hpp>
+
+#include <utility>
+
+namespace Lavendervane::Adapter {
+
+using Json = nlohmann::json;
+
+static std::string queryValue(const std::string& target, const std::string& name)
+{
+    const size_t start = target.find(name + "=");
+    if (start == std::string::npos)
+        return "";
+    const size_t from = start + name.size() + 1;
+    return target.substr(from, target.find('&', from) - from);
+}
+
+class StoreStandIn::Handler : public HttpHandler {
+public:
+    explicit Handler(StoreStandIn& store)
+        : store(store)
+    {
+    }
+
+    void handle(HttpRequest request, HttpRespond respond) override
+    {
+        const std::string target(request.target());
+        const std::string table = queryValue(target, "table");
+        if (target.starts_with("/-/rows-get"))
+            this->store.handleRead(table, respond);
+        else if (target.starts_with("/-/rows-feed"))
+            this->store.handleFeed({ table, std::stoull(queryValue(target, "after")), std::move(respond) });
+        else
+            this->store.respondWith(respond, 404, "{}");
+    }
+
+    HttpResponse makeErrorResponse(unsigned status, const std::string&) override
+    {
+        return makeJsonResponse(status, "{}");
+    }
+
+private:
+    StoreStandIn& store;
+};
+
+StoreStandIn::StoreStandIn(boost::asio::io_context& context)
+    : context(context)
+{
+    this->listen(0);
+}
+
+void StoreStandIn::listen(uint16_t requestedPort)
+{
+    HttpServerSettings settings;
+    settings.address = "127.0.0.1:" + std::to_string(requestedPort);
+    this->server
+        = std::make_unique<HttpServer>(this->context, settings, [this] { return std::make_shared<Handler>(*this); });
+    this->port = this->server->port();
+}
+
+std::string StoreStandIn::address() const { return "127.0.0.1:" + std::to_string(this->port); }
+
+void StoreStandIn::put(const std::string& table, const std::string& key, const std::string& value)
+{
+    this->change(table, key, { value, 0, false });
+}
+
+void StoreStandIn::remove(const std::string& table, const std::string& key)
+{
+    this->change(table, key, { "", 0, true });
+}
+
+void StoreStandIn::change(const std::string& table, const std::string& key, Row row)
+{
+    row.version = ++this->content.version;
+    this->content.rows.insert_or_assign({ table, key }, std::move(row));
+    this->waiting.remove_if([this](const FeedRequest& request) { return this->answerFeed(request); });
+}
+
+void StoreStandIn::restore()
+{
+    this->content = this->copy;
+    ++this->generation;
+}
+
+void StoreStandIn::goAway()
+{
+    this->waiting.clear();
+    this->server->closeAll();
+    this->server.reset();
+}
+
+void StoreStandIn::comeBack() { this->listen(this->port); }
+
+void StoreStandIn::respondWith(const HttpRespond& respond, unsigned status, std::string body) const
+{
+    HttpResponse response = makeJsonResponse(status, std::move(body));
+    if (this->reportsGeneration)
+        response.set("Store-Era", std::to_string(this->generation));
+    respond(std::move(response));
+}
+
+std::string StoreStandIn::encodeRows(const std::string& table, std::optional<uint64_t> after) const
+{
+    Json rows = Json::array();
+    for (const auto& [id, row] : this->content.rows) {
+        if (id.first != table || (after ? row.version <= *after : row.deleted))
+            continue;
+        Json json { { "key", id.second }, { "ver", row.version }, { "value", encodeBase64(row.value) } };
+        if (row.deleted)
+            json["deleted"] = true;
+        rows.push_back(std::move(json));
+    }
+    return Json { { "rows", std::move(rows) }, { "ver", this->content.version }, { "now_ms", 1000 } }.dump();
+}
+
+void StoreStandIn::handleRead(const std::string& table, const HttpRespond& respond) const
+{
+    this->respondWith(respond, 200, this->encodeRows(table, std::nullopt));
+}
+
+bool StoreStandIn::answerFeed(const FeedRequest& request) const
+{
+    for (const auto& [id, row] : this->content.rows) {
+        if (id.first == request.table && row.version > request.after) {
+            this->respondWith(request.respond, 200, this->encodeRows(request.table, request.after));
+            return true;
+        }
+    }
+    return false;
+}
+
+void StoreStandIn::handleFeed(FeedRequest request)
+{
+    if (request.after > this->content.version)
+        this->respondWith(request.respond, 410, "{}");
+    else if (!this->answerFeed(request))
+        this->waiting.push_back(std::move(request));
+}
+
+} // namespace Lavendervane::Adapter
--- /dev/null
+++ b/tests/Adapter/StoreStandIn.h
@@ -0,0 +1,79 @@
+#pragma once
+
+#include "Http/HttpServer.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <cstdint>
+#include <list>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+
+namespace Lavendervane::Adapter {
+
+/// Platform's store with reads and feeds. It can go away and be restored from an older copy, which loses what it has
+/// acknowledged since and assigns the same versions again.
+class StoreStandIn {
+public:
+    explicit StoreStandIn(boost::asio::io_context&);
+
+    std::string address() const;
+
+    void put(const std::string& table, const std::string& key, const std::string& value);
+    void remove(const std::string& table, const std::string& key);
+
+    /// Remembers the content for `restore`.
+    void saveCopy() { this->copy = this->content; }
+
+    /// Returns to the copy and raises the generation. Feed requests that are waiting go on.
+    void restore();
+
+    /// Closes all connections and accepts no new ones.
+    void goAway();
+    void comeBack();
+
+    uint64_t version() const { return this->content.version; }
+
+    bool reportsGeneration = true; ///< the header with the generation is sent
+
+private:
+    struct Row {
+        std::string value;
+        uint64_t version = 0;
+        bool deleted = false;
+    };
+
+    struct Content {
+        std::map<std::pair<std::string, std::string>, Row> rows; ///< by table and key
+        uint64_t version = 0;
+    };
+
+    struct FeedRequest {
+        std::string table;
+        uint64_t after = 0;
+        HttpRespond respond;
+    };
+
+    class Handler;
+
+    void listen(uint16_t port);
+    void change(const std::string& table, const std::string& key, Row);
+    void handleRead(const std::string& table, const HttpRespond&) const;
+    void handleFeed(FeedRequest);
+    bool answerFeed(const FeedRequest&) const;
+    void respondWith(const HttpRespond&, unsigned status, std::string body) const;
+    std::string encodeRows(const std::string& table, std::optional<uint64_t> after) const;
+
+    boost::asio::io_context& context;
+    Content content;
+    Content copy;
+    uint64_t generation = 1;
+    uint16_t port = 0;
+    std::list<FeedRequest> waiting;
+    std::unique_ptr<HttpServer> server;
+};
+
+} // namespace Lavendervane::Adapter
