Order fencing tokens across restores of the store

A store that is restored from an older copy loses leases and assigns revisions again. A later token could then equal an earlier one or be lower, so an order would be refused or overtaken; a second VM could take the lease that another one still held; a stored revocation could count as newer than one written after it.

A token now holds the generation of the table above the revision. Lease rows record their generation, and a write names the generation in which its condition was read. A lease row whose fields have other types no longer throws.

Tests written with the change, seen failing with it taken out (token without generation, no wait, no generation in the transaction, field read unchecked): 5 new cases fail.

--- a/src/Fleet/FleetControl.cpp
+++ b/src/Fleet/FleetControl.cpp
@@ -46,10 +46,20 @@
 
 void FleetControl::start()
 {
+    this->table.onRestored([this, guard = std::weak_ptr<int>(this->lifetime)](uint64_t generation) {
+        if (!guard.expired())
+            this->handleTableRestore(generation);
+    });
     for (const MembershipEffect& effect : this->membership.start())
         this->executeMembershipEffect(effect);
 }
 
+void FleetControl::handleTableRestore(uint64_t generation)
+{
+    this->log.write("store_restored", { { "generation", std::to_string(generation) } });
+    this->handlePromotionEvent(TableRestored {});
+}
+
 void FleetControl::onMemberAnnounced(const FleetMember& member)
 {
     this->handleMembershipEvent(MemberAnnounced { member });
--- a/src/Fleet/FleetControl.h
+++ b/src/Fleet/FleetControl.h
@@ -92,6 +92,7 @@
     void stop(std::function<void()> done);
 
 private:
+    void handleTableRestore(uint64_t generation);
     void publishDirectory();
     void dropLapsedEndpoints();
     void handleMembershipEvent(const MembershipEvent&);
--- a/src/Promotion/PromotionCoordinator.cpp
+++ b/src/Promotion/PromotionCoordinator.cpp
@@ -19,6 +19,20 @@
 {
 }
 
+// Number of bits of a fencing token that hold the revision. Tokens stay below 2^53, so that they are exact as floating
+// point numbers, for 8,192 generations.
+static constexpr unsigned revisionBits = 40;
+
+// Revisions that are assigned again after a restore must not make a token equal to an earlier one or lower.
+static uint64_t fencingToken(uint64_t generation, uint64_t revision) { return (generation << revisionBits) + revision; }
+
+// Rows may have been written by another version of the program, so their fields may have other types.
+static uint64_t unsignedField(const Json& lease, const char* name)
+{
+    const auto field = lease.is_object() ? lease.find(name) : lease.end();
+    return field != lease.end() && field->is_number_unsigned() ? field->get<uint64_t>() : 0;
+}
+
 std::string PromotionCoordinator::leaseKey(const GroupId& group) { return leaseKeyPrefix + group.str(); }
 
 std::optional<PrimaryRevocation> PromotionCoordinator::storedRevocation(const TableRow& row)
@@ -30,7 +44,8 @@
     if (endpoint == lease.end() || !endpoint->is_string())
         return std::nullopt;
     const std::string group = row.key.substr(std::char_traits<char>::length(leaseKeyPrefix));
-    return PrimaryRevocation { GroupId(group), EndpointId(endpoint->get<std::string>()), row.revision };
+    return PrimaryRevocation { GroupId(group), EndpointId(endpoint->get<std::string>()),
+        fencingToken(unsignedField(lease, "generation"), row.revision) };
 }
 
 std::vector<PromotionEffect> PromotionCoordinator::handle(const PromotionEvent& event, Instant now)
@@ -63,6 +78,10 @@
         return this->handleRevocationFinished(*finished, now);
     if (const auto* learnt = std::get_if<PrimaryRevocationLearnt>(&event))
         return this->handleRevocationLearnt(*learnt, now);
+    if (std::holds_alternative<TableRestored>(event)) {
+        this->handleTableRestore(now);
+        return {};
+    }
     return this->handleTimer(std::get<PromotionTimerFired>(event), now);
 }
 
@@ -208,7 +227,7 @@
     }
 }
 
-std::vector<PromotionEffect> PromotionCoordinator::startAttempt(Group& group, Instant)
+std::vector<PromotionEffect> PromotionCoordinator::startAttempt(Group& group, Instant now)
 {
     if (!this->needsPromotion(group)) {
         group.phase = Phase::Idle;
@@ -217,10 +236,8 @@
     group.oldPrimary = group.primary;
     group.oldPrimaryIsLeaving = !group.primaryUnreachable && !group.primary.empty();
     group.finalPosition.reset();
-    if (group.oldPrimaryIsLeaving || group.primary.empty()) {
-        group.phase = Phase::ReadingLease;
-        return { ReadLease { group.name, group.attempt, leaseKey(group.name) } };
-    }
+    if (group.oldPrimaryIsLeaving || group.primary.empty())
+        return this->readLease(group, now);
     group.phase = Phase::PollingPeers;
     return { PollReachability { group.name, group.attempt, group.primary } };
 }
@@ -236,9 +253,31 @@
         + " VMs cannot reach the primary, " + std::to_string(event.reachable) + " can";
     if (2 * (event.unreachable + 1) <= event.asked + 1 || !group->primaryUnreachable)
         return this->retryLater(*group, now, counts);
-    group->phase = Phase::ReadingLease;
-    return { LogPromotionStep { group->name, "primary_unreachable", counts },
-        ReadLease { group->name, group->attempt, leaseKey(group->name) } };
+    Effects effects = this->readLease(*group, now);
+    effects.insert(effects.begin(), LogPromotionStep { group->name, "primary_unreachable", counts });
+    return effects;
+}
+
+Duration PromotionCoordinator::leaseLifetime() const
+{
+    // A revocation delays the order by the duration of the VMs' leases.
+    return std::chrono::milliseconds(this->settings.leaseMs)
+        + std::chrono::ceil<std::chrono::milliseconds>(this->settings.primaryLease);
+}
+
+void PromotionCoordinator::handleTableRestore(Instant now) { this->lostLeasesExpireAt = now + this->leaseLifetime(); }
+
+// A lease that the table has lost may still be held by another VM. It was obtained before the restore.
+std::vector<PromotionEffect> PromotionCoordinator::readLease(Group& group, Instant now)
+{
+    if (now < this->lostLeasesExpireAt) {
+        ++group.attempt;
+        group.phase = Phase::WaitingForRank;
+        return { LogPromotionStep { group.name, "promotion_postponed", "the restored table may lack a lease" },
+            SetPromotionTimer { group.name, group.attempt, this->lostLeasesExpireAt + this->rankDelay(group.name) } };
+    }
+    group.phase = Phase::ReadingLease;
+    return { ReadLease { group.name, group.attempt, leaseKey(group.name) } };
 }
 
 std::vector<PromotionEffect> PromotionCoordinator::handleLeaseRead(const LeaseReadAnswered& event, Instant now)
@@ -252,21 +291,21 @@
     const uint64_t tableNow = event.reply.clock.lowerBound(now);
     if (row.revision) {
         const Json lease = Json::parse(row.value, nullptr, false);
-        const uint64_t until = lease.is_object() ? lease.value("until", uint64_t { 0 }) : 0;
-        const bool isOwnLease = lease.is_object() && lease.value("run", std::string()) == this->runId;
+        const uint64_t until = unsignedField(lease, "until");
+        const auto run = lease.is_object() ? lease.find("run") : lease.end();
+        const bool isOwnLease = run != lease.end() && run->is_string() && *run == this->runId;
         if (until > tableNow && !isOwnLease)
             return this->retryLater(*group, now, "another VM holds the promotion lease");
     }
     group->phase = Phase::WritingLease;
-    group->leaseRevision = row.revision;
+    group->leaseGeneration = event.reply.generation;
     TableTransaction transaction;
+    transaction.generation = event.reply.generation;
     transaction.conditions.push_back({ leaseKey(group->name), row.revision });
-    // A revocation delays the order by the duration of the VMs' leases.
-    const auto lifetime = std::chrono::milliseconds(this->settings.leaseMs)
-        + std::chrono::ceil<std::chrono::milliseconds>(this->settings.primaryLease);
+    const auto lifetime = std::chrono::duration_cast<std::chrono::milliseconds>(this->leaseLifetime());
     group->leaseExpiry = now + lifetime - event.reply.clock.uncertainty();
     Json lease { { "holder", this->self.str() }, { "run", this->runId },
-        { "until", tableNow + static_cast<uint64_t>(lifetime.count()) } };
+        { "until", tableNow + static_cast<uint64_t>(lifetime.count()) }, { "generation", group->leaseGeneration } };
     if (this->requiresRevocation())
         lease["revoked"] = this->endpointToRevoke(*group).str();
     transaction.writes.push_back({ leaseKey(group->name), lease.dump() });
@@ -280,8 +319,8 @@
         return {};
     if (event.reply.result.status != TableStatus::Done)
         return this->retryLater(*group, now, "writing the promotion lease failed: " + event.reply.reason);
-    // Every write of the lease increases its revision, so a later holder always has a higher fencing token.
-    group->token = event.reply.revision;
+    // Every write of the lease increases its revision within a generation, so a later holder always has a higher token.
+    group->token = fencingToken(group->leaseGeneration, event.reply.revision);
     if (this->requiresRevocation()) {
         group->phase = Phase::ReadingFleet;
         return { ReadFleet { group->name, group->attempt } };
--- a/src/Promotion/PromotionCoordinator.h
+++ b/src/Promotion/PromotionCoordinator.h
@@ -39,8 +39,9 @@
 };
 
 /// Promotes a replica when most VMs cannot reach the primary of a group or when the primary is draining. Every VM runs
-/// a coordinator. A lease row in the platform's table allows one VM to act at a time, and the revision of that row is
-/// the fencing token of the promotion order. The class is a pure state machine: it reads no clock and does no I/O.
+/// a coordinator. A lease row in the platform's table allows one VM to act at a time, and the revision of that row
+/// together with the generation of the table is the fencing token of the promotion order. The class is a pure state
+/// machine: it reads no clock and does no I/O.
 class PromotionCoordinator {
 public:
     PromotionCoordinator(VmId self, std::string runId, PromotionCoordinatorSettings);
@@ -97,12 +98,12 @@
         uint64_t attempt = 0; ///< number of the current attempt; answers to earlier attempts are ignored
         EndpointId oldPrimary; ///< primary at the start of the attempt
         bool oldPrimaryIsLeaving = false; ///< true if the old primary is draining but still reachable
+        uint64_t leaseGeneration = 0; ///< generation of the table in which the lease was read
         uint64_t token = 0; ///< fencing token of the promotion order
         std::optional<LogPosition> finalPosition; ///< end of the old primary's log after it stepped down
         Instant catchUpDeadline {};
         EndpointId promotedEndpoint;
         Instant orderedAt {};
-        uint64_t leaseRevision = 0;
         Instant leaseExpiry {}; ///< this VM must not order a promotion later
         bool hasUnconfirmedOrder = false; ///< an order for `promotedEndpoint` may still be executed
     };
@@ -116,6 +117,7 @@
     Effects handleFleetRead(const FleetReadAnswered&, Instant now);
     Effects handleRevocationFinished(const PrimaryRevocationFinished&, Instant now);
     Effects handleRevocationLearnt(const PrimaryRevocationLearnt&, Instant now);
+    void handleTableRestore(Instant now);
     Effects handleStatuses(const EndpointStatusesReceived&, Instant now);
     Effects handleStepDownAnswer(const StepDownAnswered&, Instant now);
     Effects handleOrderAnswer(const PromotionOrderAnswered&, Instant now);
@@ -128,6 +130,8 @@
     Effects waitForOtherVm(Group&, Instant now);
     Effects scheduleIfNeeded(Group&, Instant now);
     Effects startAttempt(Group&, Instant now);
+    Effects readLease(Group&, Instant now);
+    Duration leaseLifetime() const;
     Effects queryStatuses(Group&);
     bool mayLackAcknowledgedCommit(const Group&, size_t answeredReplicas) const;
     Effects orderPromotion(Group&, const EndpointId&, Instant now);
@@ -140,6 +144,7 @@
     std::string runId;
     PromotionCoordinatorSettings settings;
     Duration lastPromotionTime;
+    Instant lostLeasesExpireAt {}; ///< by then, leases that the table lost in its last restore have expired
     std::vector<VmId> vms;
     std::map<GroupId, Group> groups;
 };
--- a/src/Promotion/PromotionMessages.h
+++ b/src/Promotion/PromotionMessages.h
@@ -32,6 +32,9 @@
     std::vector<VmId> vms; ///< includes this VM
 };
 
+/// The platform's table has been restored from an older copy, which may lack promotion leases.
+struct TableRestored { };
+
 /// This VM can no longer reach an endpoint, or can reach it again.
 struct EndpointReachabilityChanged {
     GroupId group;
@@ -125,7 +128,7 @@
 using PromotionEvent
     = std::variant<RegistryUpdated, VmsChanged, EndpointReachabilityChanged, ReachabilityPolled, LeaseReadAnswered,
         LeaseWriteAnswered, EndpointStatusesReceived, StepDownAnswered, PromotionOrderAnswered, PromotionNoticeReceived,
-        PromotionTimerFired, FleetReadAnswered, PrimaryRevocationFinished, PrimaryRevocationLearnt>;
+        PromotionTimerFired, FleetReadAnswered, PrimaryRevocationFinished, PrimaryRevocationLearnt, TableRestored>;
 
 // Effects.
 
--- a/tests/Promotion/PromotionCoordinatorTest.cpp
+++ b/tests/Promotion/PromotionCoordinatorTest.cpp
@@ -67,6 +67,7 @@
         made.result.status = status;
         made.result.rows = { { PromotionCoordinator::leaseKey(stock), revision, value } };
         made.revision = revision;
+        made.generation = this->generation;
         made.clock = { 10'000, this->now, this->now };
         return made;
     }
@@ -109,6 +110,7 @@
     }
 
     uint32_t synchronousReplicas = 0;
+    uint64_t generation = 0; ///< generation of the table
     PromotionCoordinator coordinator { VmId("vm-1"), "run-1", {} };
     Instant now { 100s };
     std::vector<PromotionEffect> effects;
@@ -240,6 +242,66 @@
     BOOST_TEST(this->find<SetPromotionTimer>());
 }
 
+// Guards against an order that is refused, or overtaken by an earlier one, because a restored table has assigned a
+// revision again.
+BOOST_AUTO_TEST_CASE(Token_TableRestored_IsHigherThanBefore)
+{
+    std::vector<uint64_t> tokens;
+    for (const uint64_t generationOfTable : { 1, 2 }) {
+        CoordinatorFixture fresh;
+        fresh.generation = generationOfTable;
+        const uint64_t attempt = fresh.advanceToStatusQuery();
+        fresh.handle(EndpointStatusesReceived { stock, attempt, { { b, CoordinatorFixture::status(50) } } });
+        BOOST_REQUIRE(fresh.find<OrderPromotion>());
+        tokens.push_back(fresh.find<OrderPromotion>()->token);
+    }
+    BOOST_TEST(tokens[0] < tokens[1]);
+    BOOST_TEST(tokens[1] < (uint64_t { 1 } << 53));
+}
+
+// Guards against two VMs that promote at the same time, because the lease of one was lost with a restored table.
+BOOST_AUTO_TEST_CASE(Lease_TableRestored_IsTakenOnlyAfterLostLeasesHaveExpired)
+{
+    const Instant restoredAt = this->now;
+    this->handle(TableRestored {});
+    this->handle(EndpointReachabilityChanged { stock, a, false });
+    this->fireTimer();
+    this->handle(ReachabilityPolled { stock, this->find<PollReachability>()->attempt, 9, 0, 9 });
+    BOOST_TEST(!this->find<ReadLease>());
+    this->fireTimer();
+    BOOST_TEST((this->now - restoredAt >= std::chrono::milliseconds(PromotionCoordinatorSettings {}.leaseMs)));
+    BOOST_REQUIRE(this->find<PollReachability>());
+    this->handle(ReachabilityPolled { stock, this->find<PollReachability>()->attempt, 9, 0, 9 });
+    BOOST_TEST(this->find<ReadLease>());
+}
+
+// Guards against a lease that is taken over that of another VM, because its condition holds for another row.
+BOOST_AUTO_TEST_CASE(Lease_Written_NamesGenerationOfItsCondition)
+{
+    this->generation = 2;
+    this->handle(EndpointReachabilityChanged { stock, a, false });
+    this->fireTimer();
+    const uint64_t attempt = this->find<PollReachability>()->attempt;
+    this->handle(ReachabilityPolled { stock, attempt, 9, 0, 9 });
+    this->handle(LeaseReadAnswered { stock, attempt, this->reply(TableStatus::Done, 7) });
+    BOOST_REQUIRE(this->find<WriteLease>());
+    BOOST_TEST(this->find<WriteLease>()->transaction.generation == 2U);
+}
+
+// Guards against a row of another program version that ends the process.
+BOOST_AUTO_TEST_CASE(Lease_RowUnreadable_IsTakenForExpired)
+{
+    for (const char* value : { "garbage", "[]", R"({"until":"soon","run":7})", R"({"until":-5})" }) {
+        CoordinatorFixture fresh;
+        fresh.handle(EndpointReachabilityChanged { stock, a, false });
+        fresh.fireTimer();
+        const uint64_t attempt = fresh.find<PollReachability>()->attempt;
+        fresh.handle(ReachabilityPolled { stock, attempt, 9, 0, 9 });
+        fresh.handle(LeaseReadAnswered { stock, attempt, fresh.reply(TableStatus::Done, 7, value) });
+        BOOST_TEST(fresh.find<WriteLease>(), value);
+    }
+}
+
 // A refused token must never be reused, and a lost order may still be executed. Both cases require a new lease.
 BOOST_AUTO_TEST_CASE(Order_RefusedOrLost_NeedsNewLease)
 {
@@ -340,6 +402,16 @@
     BOOST_TEST((*stored == PrimaryRevocation { stock, a, 41 }));
 }
 
+// Guards against a revocation from before a restore that replaces a later one, because its row is still stored.
+BOOST_AUTO_TEST_CASE(StoredRevocation_WrittenInEarlierGeneration_HasLowerNumber)
+{
+    const std::string key = PromotionCoordinator::leaseKey(stock);
+    const auto earlier = PromotionCoordinator::storedRevocation({ key, 41, R"({"revoked":"a","generation":1})" });
+    const auto later = PromotionCoordinator::storedRevocation({ key, 40, R"({"revoked":"b","generation":2})" });
+    BOOST_REQUIRE((earlier && later));
+    BOOST_TEST(earlier->number < later->number);
+}
+
 // A row of another version or with unreadable content must not be taken for a revocation or end the process.
 BOOST_AUTO_TEST_CASE(StoredRevocation_RowUnreadable_IsNothing)
 {
