Use restored registry entries only once they are renewed

A registry that is restored from an older copy shows roles and states of the past: a replaced primary as the primary, a leaving endpoint as ready, an endpoint that has left. A VM then sent work there, and might have started a promotion.

Entries of the first read after a restore now count only if they are newer than what this VM knows, by the endpoint's start and sequence number. The others wait until their endpoints have renewed them; the known entry is used until then. A process that starts after the restore knows nothing better and takes the registry as it is.

--- a/src/Fleet/DirectoryFeed.h
+++ b/src/Fleet/DirectoryFeed.h
@@ -20,6 +20,20 @@
     uint64_t generation = 0; ///< generation of the store's content; 0 if it is not reported
 };
 
+/// Entry of an endpoint in the registry.
+struct RegistryEntry {
+    RegisteredEndpoint endpoint;
+    uint64_t sequence = 0; ///< rises with each renewal of the entry by the same run of the endpoint
+
+    friend bool operator==(const RegistryEntry&, const RegistryEntry&) = default;
+};
+
+/// Content of the registry.
+struct RegistryRead {
+    std::vector<RegistryEntry> entries;
+    uint64_t generation = 0; ///< generation of the store's content; 0 if it is not reported
+};
+
 /// Receives configuration and registry. Called on the control thread.
 class DirectoryListener {
 public:
@@ -28,8 +42,8 @@
     /// A version of the configuration has been read. Versions can arrive in any order; the listener keeps the newest.
     virtual void onConfigurationRead(SessionConfiguration) = 0;
 
-    /// The registry has been read; the argument contains all registered endpoints.
-    virtual void onRegistryRead(std::vector<RegisteredEndpoint>) = 0;
+    /// The registry has been read. Returns true if it is to be read again within seconds, although nothing may change.
+    virtual bool onRegistryRead(const RegistryRead&) = 0;
 
     /// The source has become unavailable (`reason` says why) or available again (`reason` is empty).
     virtual void onSourceAvailabilityChanged(const std::string& reason) = 0;
--- a/src/Fleet/FleetControl.cpp
+++ b/src/Fleet/FleetControl.cpp
@@ -131,7 +131,13 @@
     this->publishDirectory();
 }
 
-void FleetControl::onRegistryRead(std::vector<RegisteredEndpoint> endpoints)
+bool FleetControl::onRegistryRead(const RegistryRead& read)
+{
+    this->updateRegistry(this->registryFilter.update(read));
+    return this->registryFilter.mustReadAgain();
+}
+
+void FleetControl::updateRegistry(std::vector<RegisteredEndpoint> endpoints)
 {
     this->hasRegistry = true;
     const Instant now = this->timers.now();
--- a/src/Fleet/FleetControl.h
+++ b/src/Fleet/FleetControl.h
@@ -3,6 +3,7 @@
 #include "Fleet/Directory.h"
 #include "Fleet/DirectoryFeed.h"
 #include "Fleet/FleetMembership.h"
+#include "Fleet/RegistryFilter.h"
 #include "Fleet/TableStore.h"
 #include "Limits/ShareLeaseManager.h"
 #include "Promotion/PromotionCoordinator.h"
@@ -72,7 +73,7 @@
     void start();
 
     void onConfigurationRead(SessionConfiguration) override;
-    void onRegistryRead(std::vector<RegisteredEndpoint>) override;
+    bool onRegistryRead(const RegistryRead&) override;
     void onSourceAvailabilityChanged(const std::string& reason) override;
     void onFeedStep(const FeedStep&) override;
 
@@ -94,6 +95,7 @@
 private:
     void handleTableRestore(uint64_t generation);
     void publishDirectory();
+    void updateRegistry(std::vector<RegisteredEndpoint>);
     void dropLapsedEndpoints();
     void handleMembershipEvent(const MembershipEvent&);
     void executeMembershipEffect(const MembershipEffect&);
@@ -123,6 +125,7 @@
     PromotionCoordinator promotionCoordinator;
     std::string digestKey;
     std::shared_ptr<const SessionConfiguration> configuration;
+    RegistryFilter registryFilter;
     std::map<EndpointId, RegisteredEndpoint> registry;
     std::map<EndpointId, Instant> lapseTimes;
     bool hasRegistry = false;
--- a/tests/Adapter/DirectorySourceTest.cpp
+++ b/tests/Adapter/DirectorySourceTest.cpp
@@ -19,13 +19,22 @@
 class RecordingListener : public DirectoryListener {
 public:
     void onConfigurationRead(SessionConfiguration read) override { this->configurationVersion = read.version; }
-    void onRegistryRead(std::vector<RegisteredEndpoint> read) override { this->endpoints = std::move(read); }
+    bool onRegistryRead(const RegistryRead& read) override
+    {
+        this->endpoints.clear();
+        for (const RegistryEntry& entry : read.entries)
+            this->endpoints.push_back(entry.endpoint);
+        ++this->registryReads;
+        return this->wantsRegistryAgain;
+    }
     void onSourceAvailabilityChanged(const std::string&) override { }
     void onFeedStep(const FeedStep& step) override { this->steps.push_back(step); }
 
     uint64_t configurationVersion = 0; ///< version that was read last
     std::vector<RegisteredEndpoint> endpoints;
     std::vector<FeedStep> steps;
+    size_t registryReads = 0;
+    bool wantsRegistryAgain = false;
 };
 
 std::string configurationText(uint64_t version)
@@ -126,6 +135,16 @@
     this->waitFor([this] { return this->listener.configurationVersion == 15; });
 }
 
+// Guards against an entry that is never confirmed, because a renewal that changes nothing else ends no feed request.
+BOOST_AUTO_TEST_CASE(Registry_ListenerWantsItAgain_IsReadAgain)
+{
+    this->listener.wantsRegistryAgain = true;
+    this->store.put("servers", "i-2", entryText("ready", "replica", 1));
+    this->waitFor([this] { return this->listener.endpoints.size() == 2; });
+    const size_t reads = this->listener.registryReads;
+    this->waitFor([this, reads] { return this->listener.registryReads > reads; });
+}
+
 // Guards against a feed that goes on after a revision that the restored store has not reached yet.
 BOOST_AUTO_TEST_CASE(Store_RestoredAndBelowKnownRevision_ReportsNewConfiguration)
 {
--- a/tests/Adapter/SettingsAndRowsTest.cpp
+++ b/tests/Adapter/SettingsAndRowsTest.cpp
@@ -89,12 +89,14 @@
 
 BOOST_AUTO_TEST_CASE(DecodeRegistryEntry_Complete_ReadsFields)
 {
-    const auto endpoint = decodeRegistryEntry("i-7f3a91c2", entryText);
-    BOOST_REQUIRE(endpoint);
-    BOOST_TEST(endpoint->id == EndpointId("i-7f3a91c2"));
-    BOOST_TEST(endpoint->address == "10.128.0.9:8080");
-    BOOST_TEST((endpoint->role == EndpointRole::Replica));
-    BOOST_TEST(endpoint->startedAt == 1700000000000U);
+    const auto entry = decodeRegistryEntry("i-7f3a91c2", entryText);
+    BOOST_REQUIRE(entry);
+    const RegisteredEndpoint& endpoint = entry->endpoint;
+    BOOST_TEST(endpoint.id == EndpointId("i-7f3a91c2"));
+    BOOST_TEST(endpoint.address == "10.128.0.9:8080");
+    BOOST_TEST((endpoint.role == EndpointRole::Replica));
+    BOOST_TEST(endpoint.startedAt == 1700000000000U);
+    BOOST_TEST(entry->sequence == 4U);
 }
 
 // Other programs write to the registry too; their malformed entries must not be used as endpoints.
