Write lost rows of VMs again after a restore of the store

VMs that joined after the copy was made lost their rows. Meanwhile a promotion without fences did not tell them of the revoked primary, and lists of owners and holders differed.

A promotion also asks members that it knows but does not find listed.

Tests written with the change, seen failing without the event and without the kept members (FleetMembershipTest).

--- a/src/Fleet/FleetControl.cpp
+++ b/src/Fleet/FleetControl.cpp
@@ -42,6 +42,8 @@
         this->timers.cancel(*this->lapseTimer);
     if (this->memberListTimer)
         this->timers.cancel(*this->memberListTimer);
+    if (this->membershipTimer)
+        this->timers.cancel(*this->membershipTimer);
 }
 
 void FleetControl::start()
@@ -58,6 +60,7 @@
 {
     this->log.write("store_restored", { { "generation", std::to_string(generation) } });
     this->handlePromotionEvent(TableRestored {});
+    this->handleMembershipEvent(TableRestored {});
 }
 
 void FleetControl::onMemberAnnounced(const FleetMember& member)
@@ -90,7 +93,12 @@
     } else if (const auto* announce = std::get_if<AnnounceMember>(&effect)) {
         this->traffic.announceMember(*announce);
     } else if (const auto* timer = std::get_if<SetMembershipTimer>(&effect)) {
-        this->timers.schedule(timer->when, [answer] { answer(MembershipTimerFired {}); });
+        if (this->membershipTimer)
+            this->timers.cancel(*this->membershipTimer);
+        this->membershipTimer = this->timers.schedule(timer->when, [this, answer] {
+            this->membershipTimer.reset();
+            answer(MembershipTimerFired {});
+        });
     } else if (const auto* list = std::get_if<PublishMembers>(&effect)) {
         this->handleMemberList(*list);
     }
@@ -343,8 +351,8 @@
                 if (guard.expired())
                     return;
                 if (reply.result.status == TableStatus::Done)
-                    read.members = FleetMembership::parseRows(
-                        reply.result.rows, reply.clock.lowerBound(this->timers.now()), this->settings.membership);
+                    read.members = this->mergeKnownMembers(FleetMembership::parseRows(
+                        reply.result.rows, reply.clock.lowerBound(this->timers.now()), this->settings.membership));
                 answer(std::move(read));
             });
     } else if (const auto* revoke = std::get_if<RevokePrimary>(&effect)) {
@@ -372,6 +380,21 @@
     }
 }
 
+// The rows of VMs that hold a lease may be missing after a restore of the table.
+std::vector<FleetMember> FleetControl::mergeKnownMembers(std::vector<FleetMember> read) const
+{
+    if (!this->memberList)
+        return read;
+    std::set<VmId> listed;
+    for (const FleetMember& member : read)
+        listed.insert(member.vm);
+    for (const FleetMember& member : this->memberList->members) {
+        if (!listed.count(member.vm))
+            read.push_back(member);
+    }
+    return read;
+}
+
 void FleetControl::handleFleetChange(const PublishMembers& list)
 {
     std::vector<FleetMember> vms = list.members;
--- a/src/Fleet/FleetControl.h
+++ b/src/Fleet/FleetControl.h
@@ -100,6 +100,7 @@
     void handleMembershipEvent(const MembershipEvent&);
     void executeMembershipEffect(const MembershipEffect&);
     void handleMemberList(const PublishMembers&);
+    std::vector<FleetMember> mergeKnownMembers(std::vector<FleetMember>) const;
     void handleFleetChange(const PublishMembers&);
     void startShareLease();
     void updateShareHolding(const std::vector<FleetMember>&);
@@ -121,6 +122,7 @@
     std::optional<ShareLeaseManager> shareLeaseManager;
     std::set<VmId> shareHolders; ///< VMs that are to hold shares
     std::optional<PublishMembers> memberList; ///< newest list of VMs
+    std::optional<Timers::Handle> membershipTimer;
     std::optional<Timers::Handle> memberListTimer; ///< ends the wait for further changes of the list
     PromotionCoordinator promotionCoordinator;
     std::string digestKey;
--- a/src/Fleet/FleetMembership.cpp
+++ b/src/Fleet/FleetMembership.cpp
@@ -71,6 +71,8 @@
         return this->onWritten(written->reply, now);
     if (const auto* announced = std::get_if<MemberAnnounced>(&event))
         return this->onAnnounced(announced->member);
+    if (std::holds_alternative<TableRestored>(event))
+        return this->onTableRestored(now);
     return this->onTimer(now);
 }
 
@@ -95,6 +97,33 @@
     return list;
 }
 
+// Reads the expiry of the own row, which is 0 if the row is missing or does not describe this VM.
+bool FleetMembership::isListed(const std::vector<TableRow>& rows, uint64_t tableNowMs)
+{
+    const auto own = std::find_if(
+        rows.begin(), rows.end(), [this](const TableRow& row) { return row.key == keyPrefix + this->self.vm.str(); });
+    const auto row = own == rows.end() ? std::nullopt : parseRow(*own);
+    this->ownExpiryMs = row && row->member == this->self && row->expiresAtMs > tableNowMs ? row->expiresAtMs : 0;
+    return this->ownExpiryMs > 0;
+}
+
+SetMembershipTimer FleetMembership::nextRefresh(Instant now)
+{
+    if (now < this->keepMembersUntil)
+        return { this->keepMembersUntil + this->randomDuration(this->settings.joinJitter) };
+    return { now + this->settings.refreshInterval + this->randomDuration(this->settings.refreshInterval / 4) };
+}
+
+// Members whose rows are lost still hold leases and shares of the limits, so they stay listed until they have had time
+// to write their rows again.
+std::vector<MembershipEffect> FleetMembership::onTableRestored(Instant now)
+{
+    this->keepMembersUntil = now + this->settings.joinJitter + this->settings.settleTime;
+    if (this->callInProgress || this->settling || !this->joined)
+        return {};
+    return { SetMembershipTimer { now + this->randomDuration(this->settings.joinJitter) } };
+}
+
 std::vector<MembershipEffect> FleetMembership::onRead(const TableReply& reply, Instant now)
 {
     if (reply.result.status != TableStatus::Done)
@@ -103,18 +132,15 @@
     this->retryDelay = {};
     this->clock = reply.clock;
     const uint64_t tableNow = reply.clock.lowerBound(now);
-    this->members.clear();
+    if (now >= this->keepMembersUntil)
+        this->members.clear();
     for (FleetMember& member : parseRows(reply.result.rows, tableNow, this->settings))
         this->members.emplace(member.vm, std::move(member));
-    if (!std::exchange(this->hasRead, true)) {
-        const auto own = std::find_if(reply.result.rows.begin(), reply.result.rows.end(),
-            [this](const TableRow& row) { return row.key == keyPrefix + this->self.vm.str(); });
-        const auto row = own == reply.result.rows.end() ? std::nullopt : parseRow(*own);
-        const bool isListed = row && row->member == this->self && row->expiresAtMs > tableNow;
-        if (!isListed)
-            return { SetMembershipTimer { now + this->randomDuration(this->settings.joinJitter) } };
+    const bool isFirst = !std::exchange(this->hasRead, true);
+    if (!this->isListed(reply.result.rows, tableNow))
+        return { SetMembershipTimer { now + this->randomDuration(this->settings.joinJitter) } };
+    if (isFirst) {
         // An earlier run of this VM is listed, so the fleet knows this VM and is not starting.
-        this->ownExpiryMs = row->expiresAtMs;
         this->joined = true;
         this->settled = true;
     }
@@ -130,8 +156,7 @@
     }
     effects.emplace_back(this->makeList());
     if (this->settled) {
-        effects.emplace_back(SetMembershipTimer {
-            now + this->settings.refreshInterval + this->randomDuration(this->settings.refreshInterval / 4) });
+        effects.emplace_back(this->nextRefresh(now));
     } else {
         this->settling = true;
         effects.emplace_back(SetMembershipTimer { now + this->settings.settleTime });
@@ -179,9 +204,7 @@
         return {};
     if (std::exchange(this->settling, false)) {
         this->settled = true;
-        return { this->makeList(),
-            SetMembershipTimer {
-                now + this->settings.refreshInterval + this->randomDuration(this->settings.refreshInterval / 4) } };
+        return { this->makeList(), this->nextRefresh(now) };
     }
     const bool mustWrite
         = this->hasRead && this->ownExpiryMs < this->clock.lowerBound(now) + this->settings.lifetimeMs * 2 / 3;
--- a/src/Fleet/FleetMembership.h
+++ b/src/Fleet/FleetMembership.h
@@ -46,7 +46,7 @@
 /// The timer set by `SetMembershipTimer` has expired.
 struct MembershipTimerFired { };
 
-using MembershipEvent = std::variant<MembersRead, MemberWritten, MemberAnnounced, MembershipTimerFired>;
+using MembershipEvent = std::variant<MembersRead, MemberWritten, MemberAnnounced, MembershipTimerFired, TableRestored>;
 
 /// Effect: read the rows of all members from the table.
 struct ReadMembers { };
@@ -69,7 +69,7 @@
     bool settled = false;
 };
 
-/// Effect: send `MembershipTimerFired` at the given time.
+/// Effect: send `MembershipTimerFired` at the given time. Replaces the timer that was set before.
 struct SetMembershipTimer {
     Instant when;
 };
@@ -78,8 +78,9 @@
 
 /// State machine that lists this VM in the platform's table and learns of the other VMs. Each VM has a row of its own,
 /// so that VMs that start together do not conflict. A VM that joins writes its row, reads all rows, and announces
-/// itself to the VMs that it finds: of two VMs that join at the same time, at least one finds the other. Performs no
-/// I/O.
+/// itself to the VMs that it finds: of two VMs that join at the same time, at least one finds the other. When the table
+/// has been restored from an older copy, each VM writes its row again if it is missing, and keeps the members that it
+/// knows until the others have done so. Performs no I/O.
 class FleetMembership {
 public:
     FleetMembership(FleetMember self, FleetMembershipSettings, uint64_t seed);
@@ -101,6 +102,9 @@
     Effects onWritten(const TableReply&, Instant now);
     Effects onAnnounced(const FleetMember&);
     Effects onTimer(Instant now);
+    Effects onTableRestored(Instant now);
+    bool isListed(const std::vector<TableRow>&, uint64_t tableNowMs);
+    SetMembershipTimer nextRefresh(Instant now);
     Effects writeRow(Instant now);
     Effects retryLater(Instant now);
     PublishMembers makeList() const;
@@ -118,6 +122,7 @@
     bool settled = false;
     bool settling = false; ///< the timer ends the settle time
     bool callInProgress = false;
+    Instant keepMembersUntil {}; ///< until then the rows of some members may be missing after a restore of the table
     Duration retryDelay {}; ///< last delay after a failed call; 0 after a successful one
 };
 
--- a/src/Fleet/TableStore.h
+++ b/src/Fleet/TableStore.h
@@ -43,6 +43,9 @@
 
 using TableReplyCallback = std::function<void(TableReply)>;
 
+/// Event: the table has been restored from an older copy, which may lack rows that were written since.
+struct TableRestored { };
+
 /// Called when the table is found to have been restored from an older copy, with its new generation.
 using TableRestoredCallback = std::function<void(uint64_t generation)>;
 
--- a/src/Promotion/PromotionMessages.h
+++ b/src/Promotion/PromotionMessages.h
@@ -32,9 +32,6 @@
     std::vector<VmId> vms; ///< includes this VM
 };
 
-/// The platform's table has been restored from an older copy, which may lack promotion leases.
-struct TableRestored { };
-
 /// This VM can no longer reach an endpoint, or can reach it again.
 struct EndpointReachabilityChanged {
     GroupId group;
--- a/tests/Fleet/FleetMembershipTest.cpp
+++ b/tests/Fleet/FleetMembershipTest.cpp
@@ -55,6 +55,15 @@
         return smallest;
     }
 
+    /// Returns the table to an older copy, and tells each VM of it within 1.5 s.
+    void restore(const std::map<std::string, TableRow>& copy)
+    {
+        this->table = copy;
+        for (const auto& [vm, state] : this->vms)
+            this->scheduleAt(this->now + 1500ms * vm / this->vms.size(),
+                [this, restoredVm = vm] { this->handle(restoredVm, TableRestored {}); });
+    }
+
     size_t listSize(size_t vm) const { return this->vms.at(vm).list->members.size(); }
 
     std::map<std::string, TableRow> table;
@@ -66,6 +75,7 @@
     struct Vm {
         FleetMembership membership;
         std::optional<PublishMembers> list;
+        uint64_t timerNumber = 0;
     };
 
     void scheduleAt(Instant when, std::function<void()> action) { this->events.emplace(when, std::move(action)); }
@@ -86,7 +96,11 @@
             } else if (const auto* list = std::get_if<PublishMembers>(&effect)) {
                 this->vms.at(vm).list = *list;
             } else if (const auto* timer = std::get_if<SetMembershipTimer>(&effect)) {
-                this->scheduleAt(timer->when, [this, vm] { this->handle(vm, MembershipTimerFired {}); });
+                const uint64_t number = ++this->vms.at(vm).timerNumber;
+                this->scheduleAt(timer->when, [this, vm, number] {
+                    if (this->vms.at(vm).timerNumber == number)
+                        this->handle(vm, MembershipTimerFired {});
+                });
             }
         }
     }
@@ -201,6 +215,50 @@
         BOOST_TEST(model.listSize(vm) == 4U);
 }
 
+// Guards against VMs that are missing in the lists of others, because their rows were lost with the restored table.
+BOOST_AUTO_TEST_CASE(Table_RestoredWithoutSomeRows_AllStayListedAndWriteThemAgain)
+{
+    MembershipModel model(40);
+    model.run(10s);
+    auto copy = model.table;
+    for (size_t vm = 0; vm < 40; vm += 2)
+        copy.erase(FleetMembership::keyPrefix + std::string("vm-") + std::to_string(vm));
+    model.restore(copy);
+    for (int step = 0; step < 100; ++step) {
+        model.run(100ms);
+        BOOST_TEST(model.smallestSettledList() == 40U);
+    }
+    BOOST_TEST(model.table.size() == 40U);
+}
+
+// Guards against a VM that has been gone for long and is listed again with the rows of a copy, for good.
+BOOST_AUTO_TEST_CASE(Table_RestoredWithRowOfVmThatIsGone_LeavesListAfterLifetime)
+{
+    MembershipModel model(4);
+    model.run(10s);
+    auto copy = model.table;
+    TableRow row = copy.begin()->second;
+    row.key = FleetMembership::keyPrefix + std::string("vm-9");
+    row.value.replace(row.value.find("vm-0"), 4, "vm-9");
+    copy[row.key] = row;
+    model.restore(copy);
+    model.run(900s);
+    for (size_t vm = 0; vm < 4; ++vm)
+        BOOST_TEST(model.listSize(vm) == 4U);
+}
+
+// Every call to the store costs money, also after a restore.
+BOOST_AUTO_TEST_CASE(Table_Restored_FiveCallsAVmAtMost)
+{
+    MembershipModel model(295);
+    model.run(10s);
+    model.calls = 0;
+    model.restore({});
+    model.run(10s);
+    BOOST_TEST(model.calls <= 295U * 5U);
+    BOOST_TEST(model.table.size() == 295U);
+}
+
 // Rows of another version, or damaged ones, must not hide the other members.
 BOOST_AUTO_TEST_CASE(ParseRows_SomeUnreadable_KeepsTheOthers)
 {
