Record revocations again that a restored store has lost

Where promotions are not fenced, a VM that starts reads the revoked primaries from the store. A store restored from an older copy may lack the last ones; if most VMs then restarted, none knew them, and a replaced primary that is cut off could be used again.

After a restore each VM compares the stored revocations with those that it knows, within 1.5 s, and records the missing ones on condition that the row is unchanged. A stored lease is kept.

Two new cases of PromotionCoordinatorTest, written with the change; the code before had no such function.

--- a/src/Fleet/FleetControl.cpp
+++ b/src/Fleet/FleetControl.cpp
@@ -12,6 +12,9 @@
 // Delay before the stored revocations are read again after a failure.
 static constexpr Duration storedRevocationsRetryDelay = std::chrono::milliseconds(300);
 
+// Upper bound of the random delay before revocations are recorded again that a restored table has lost.
+static constexpr Duration revocationRecordJitter = std::chrono::milliseconds(1500);
+
 // Time in which several changes of the list of VMs are combined.
 static constexpr Duration memberListDelay = std::chrono::milliseconds(200);
 
@@ -29,6 +32,7 @@
     , metrics(metrics)
     , membership(this->settings.self, this->settings.membership, this->settings.seed)
     , promotionCoordinator(this->settings.self.vm, this->settings.runId, this->settings.promotion)
+    , random(this->settings.seed)
     , digestKey(randomBytes(digestKeyBytes))
     , lifetime(std::make_shared<int>(0))
 {
@@ -44,6 +48,8 @@
         this->timers.cancel(*this->memberListTimer);
     if (this->membershipTimer)
         this->timers.cancel(*this->membershipTimer);
+    if (this->revocationTimer)
+        this->timers.cancel(*this->revocationTimer);
 }
 
 void FleetControl::start()
@@ -63,6 +69,47 @@
     this->handleMembershipEvent(TableRestored {});
     if (this->shareLeaseManager)
         this->executeShareEffects(this->shareLeaseManager->handle(TableRestored {}, this->timers.now()));
+    // Usually the first VM records what is missing for all.
+    this->scheduleRevocationRecords(
+        Duration(static_cast<int64_t>(this->random.below(static_cast<uint64_t>(revocationRecordJitter.count())))));
+}
+
+void FleetControl::scheduleRevocationRecords(Duration delay)
+{
+    if (this->revocations.empty())
+        return;
+    if (this->revocationTimer)
+        this->timers.cancel(*this->revocationTimer);
+    this->revocationTimer = this->timers.schedule(this->timers.now() + delay, [this] {
+        this->revocationTimer.reset();
+        this->recordRevocationsAgain();
+    });
+}
+
+// A VM that starts later knows of a revocation only what the table holds, or what a majority of the VMs tells it.
+void FleetControl::recordRevocationsAgain()
+{
+    const std::weak_ptr<int> guard = this->lifetime;
+    this->table.readRows(PromotionCoordinator::leaseKeyPrefix, [this, guard](const TableReply& reply) {
+        if (guard.expired())
+            return;
+        if (reply.result.status != TableStatus::Done) {
+            this->scheduleRevocationRecords(storedRevocationsRetryDelay);
+            return;
+        }
+        for (const TableTransaction& transaction :
+            PromotionCoordinator::recordAgain(this->revocations, reply.result.rows, reply.generation)) {
+            this->table.transact(transaction, [this, guard](const TableReply& written) {
+                if (guard.expired())
+                    return;
+                const TableStatus status = written.result.status;
+                this->log.write("revocation_recorded_again",
+                    { { "recorded", status == TableStatus::Done ? "true" : "false" }, { "reason", written.reason } });
+                if (status == TableStatus::NotSent || status == TableStatus::Unknown)
+                    this->scheduleRevocationRecords(storedRevocationsRetryDelay);
+            });
+        }
+    });
 }
 
 void FleetControl::onMemberAnnounced(const FleetMember& member)
@@ -471,19 +518,30 @@
             }
             std::vector<PrimaryRevocation> stored;
             for (const TableRow& row : reply.result.rows) {
-                if (const auto revocation = PromotionCoordinator::storedRevocation(row))
-                    stored.push_back(*revocation);
+                const auto revocation = PromotionCoordinator::storedRevocation(row);
+                if (!revocation)
+                    continue;
+                stored.push_back(*revocation);
+                this->noteRevocation(*revocation);
             }
             this->log.write("stored_revocations_read", { { "count", std::to_string(stored.size()) } });
             this->traffic.startPrimaryLease(std::move(stored));
         });
 }
 
+void FleetControl::noteRevocation(const PrimaryRevocation& revocation)
+{
+    PrimaryRevocation& newest = this->revocations[revocation.group];
+    if (newest.number < revocation.number)
+        newest = revocation;
+}
+
 void FleetControl::onPrimaryRevoked(const PrimaryRevocation& revocation)
 {
     this->log.write("primary_revoked",
         { { "group", revocation.group.str() }, { "endpoint", revocation.endpoint.str() },
             { "number", std::to_string(revocation.number) } });
+    this->noteRevocation(revocation);
     this->handlePromotionEvent(PrimaryRevocationLearnt { revocation });
     this->publishDirectory();
 }
--- a/src/Fleet/FleetControl.h
+++ b/src/Fleet/FleetControl.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Core/RandomGenerator.h"
 #include "Fleet/Directory.h"
 #include "Fleet/DirectoryFeed.h"
 #include "Fleet/FleetMembership.h"
@@ -105,6 +106,9 @@
     void startShareLease();
     void updateShareHolding(const std::vector<FleetMember>&);
     void readStoredRevocations();
+    void noteRevocation(const PrimaryRevocation&);
+    void recordRevocationsAgain();
+    void scheduleRevocationRecords(Duration delay);
     void executeShareEffects(std::vector<ShareEffect>);
     void executePromotionEffect(PromotionEffect&);
     void onShareTimer();
@@ -125,6 +129,9 @@
     std::optional<Timers::Handle> membershipTimer;
     std::optional<Timers::Handle> memberListTimer; ///< ends the wait for further changes of the list
     PromotionCoordinator promotionCoordinator;
+    std::map<GroupId, PrimaryRevocation> revocations; ///< newest known revocation of each group
+    std::optional<Timers::Handle> revocationTimer;
+    RandomGenerator random;
     std::string digestKey;
     std::shared_ptr<const SessionConfiguration> configuration;
     RegistryFilter registryFilter;
--- a/src/Promotion/PromotionCoordinator.cpp
+++ b/src/Promotion/PromotionCoordinator.cpp
@@ -48,6 +48,32 @@
         fencingToken(unsignedField(lease, "generation"), row.revision) };
 }
 
+std::vector<TableTransaction> PromotionCoordinator::recordAgain(
+    const std::map<GroupId, PrimaryRevocation>& known, const std::vector<TableRow>& rows, uint64_t generation)
+{
+    std::vector<TableTransaction> transactions;
+    for (const auto& [group, revocation] : known) {
+        const std::string key = leaseKey(group);
+        const auto row
+            = std::find_if(rows.begin(), rows.end(), [&key](const TableRow& other) { return other.key == key; });
+        const auto stored = row == rows.end() ? std::nullopt : storedRevocation(*row);
+        if (stored && stored->number >= revocation.number)
+            continue;
+        // The stored lease is kept, because it may still be held.
+        Json lease = row == rows.end() ? Json::object() : Json::parse(row->value, nullptr, false);
+        if (!lease.is_object())
+            lease = Json::object();
+        lease["revoked"] = revocation.endpoint.str();
+        lease["generation"] = generation;
+        TableTransaction transaction;
+        transaction.generation = generation;
+        transaction.conditions.push_back({ key, row == rows.end() ? 0 : row->revision });
+        transaction.writes.push_back({ key, lease.dump() });
+        transactions.push_back(std::move(transaction));
+    }
+    return transactions;
+}
+
 std::vector<PromotionEffect> PromotionCoordinator::handle(const PromotionEvent& event, Instant now)
 {
     if (const auto* vmsChanged = std::get_if<VmsChanged>(&event)) {
--- a/src/Promotion/PromotionCoordinator.h
+++ b/src/Promotion/PromotionCoordinator.h
@@ -61,6 +61,11 @@
     /// Returns the revocation that a row records; nothing if the row is unreadable or records none.
     static std::optional<PrimaryRevocation> storedRevocation(const TableRow&);
 
+    /// Returns the transactions that record revocations again that are missing in the rows of a table, because it was
+    /// restored from an older copy. `generation` is that of the table when the rows were read.
+    static std::vector<TableTransaction> recordAgain(
+        const std::map<GroupId, PrimaryRevocation>& known, const std::vector<TableRow>&, uint64_t generation);
+
 private:
     using Effects = std::vector<PromotionEffect>;
 
--- a/tests/Promotion/PromotionCoordinatorTest.cpp
+++ b/tests/Promotion/PromotionCoordinatorTest.cpp
@@ -412,6 +412,45 @@
     BOOST_TEST(earlier->number < later->number);
 }
 
+// Guards against a replaced primary that is used again after a restart of most VMs, because its revocation was lost
+// with a restored table.
+BOOST_AUTO_TEST_CASE(RecordAgain_RevocationsMissingInTable_WritesThem)
+{
+    const std::string key = PromotionCoordinator::leaseKey(stock);
+    const TableRow older { key, 41, R"({"revoked":"a","generation":1,"run":"other","until":7000})" };
+    const uint64_t storedNumber = PromotionCoordinator::storedRevocation(older)->number;
+    const std::map<GroupId, PrimaryRevocation> known { { stock, { stock, b, storedNumber + 1 } } };
+    for (const auto& rows : { std::vector<TableRow> {}, std::vector<TableRow> { older } }) {
+        const auto transactions = PromotionCoordinator::recordAgain(known, rows, 2);
+        BOOST_REQUIRE(transactions.size() == 1U);
+        BOOST_TEST(transactions.front().generation == 2U);
+        BOOST_TEST(transactions.front().conditions.front().revision == (rows.empty() ? 0U : 41U));
+        const RowWrite write = transactions.front().writes.front();
+        const auto recorded = PromotionCoordinator::storedRevocation({ write.key, 30, write.value });
+        BOOST_REQUIRE(recorded.has_value());
+        BOOST_TEST(recorded->endpoint == b);
+        BOOST_TEST(recorded->number > storedNumber + 1);
+    }
+    BOOST_TEST(PromotionCoordinator::recordAgain({ { stock, { stock, a, storedNumber } } }, { older }, 2).empty());
+}
+
+// Guards against a lease that seems free, because its row was written again.
+BOOST_AUTO_TEST_CASE(RecordAgain_LeaseIsStored_KeepsIt)
+{
+    const std::string key = PromotionCoordinator::leaseKey(stock);
+    const TableRow older { key, 41, R"({"revoked":"a","generation":1,"run":"other","until":12000})" };
+    const std::map<GroupId, PrimaryRevocation> known { { stock, { stock, b, uint64_t { 1 } << 42 } } };
+    const auto transactions = PromotionCoordinator::recordAgain(known, { older }, 2);
+    BOOST_REQUIRE(transactions.size() == 1U);
+    this->handle(EndpointReachabilityChanged { stock, a, false });
+    this->fireTimer();
+    const uint64_t attempt = this->find<PollReachability>()->attempt;
+    this->handle(ReachabilityPolled { stock, attempt, 9, 0, 9 });
+    this->handle(LeaseReadAnswered {
+        stock, attempt, this->reply(TableStatus::Done, 42, transactions.front().writes.front().value) });
+    BOOST_TEST(!this->find<WriteLease>());
+}
+
 // A row of another version or with unreadable content must not be taken for a revocation or end the process.
 BOOST_AUTO_TEST_CASE(StoredRevocation_RowUnreadable_IsNothing)
 {
