--- a/src/Fleet/FleetControl.cpp
+++ b/src/Fleet/FleetControl.cpp
@@ -191,7 +191,11 @@
 bool FleetControl::onRegistryRead(const RegistryRead& read)
 {
     this->updateRegistry(this->registryFilter.update(read));
-    return this->registryFilter.mustReadAgain();
+    const size_t unconfirmed = this->registryFilter.unconfirmedCount();
+    if (unconfirmed)
+        this->log.write("registry_unconfirmed",
+            { { "entries", std::to_string(unconfirmed) }, { "generation", std::to_string(read.generation) } });
+    return unconfirmed > 0;
 }
 
 void FleetControl::updateRegistry(std::vector<RegisteredEndpoint> endpoints)
--- a/src/Fleet/RegistryFilter.h
+++ b/src/Fleet/RegistryFilter.h
@@ -16,9 +16,9 @@
     /// Returns the endpoints to use after a read of the registry.
     std::vector<RegisteredEndpoint> update(const RegistryRead&);
 
-    /// Returns true if some entries wait for their endpoints to renew them. A renewal that changes nothing else is seen
-    /// only when the registry is read again.
-    bool mustReadAgain() const { return !this->unconfirmed.empty(); }
+    /// Number of entries that wait for their endpoints to renew them. A renewal that changes nothing else is seen only
+    /// when the registry is read again.
+    size_t unconfirmedCount() const { return this->unconfirmed.size(); }
 
 private:
     bool isConfirmed(const RegistryEntry&, bool isRestored);
--- a/tests/Fleet/RegistryFilterTest.cpp
+++ b/tests/Fleet/RegistryFilterTest.cpp
@@ -50,7 +50,7 @@
     this->read({ entry("a", 9, primary), entry("b", 8, replica) }, 2);
     BOOST_TEST((this->find("a")->role == replica));
     BOOST_TEST((this->find("b")->role == primary));
-    BOOST_TEST(this->filter.mustReadAgain());
+    BOOST_TEST(this->filter.unconfirmedCount() == 2U);
 }
 
 // Guards against an endpoint that is leaving and gets new work again.
@@ -72,7 +72,7 @@
     BOOST_TEST(!this->find("b"));
     this->read({ entry("a", 22, primary), entry("b", 10, replica) }, 2);
     BOOST_TEST(this->find("b"));
-    BOOST_TEST(!this->filter.mustReadAgain());
+    BOOST_TEST(this->filter.unconfirmedCount() == 0U);
 }
 
 // Guards against an endpoint whose present role is never learnt, because only its sequence number has changed.
@@ -90,7 +90,7 @@
     this->read({ entry("a", 20, primary) }, 1);
     this->read({ entry("a", 25, replica) }, 2);
     BOOST_TEST((this->find("a")->role == replica));
-    BOOST_TEST(!this->filter.mustReadAgain());
+    BOOST_TEST(this->filter.unconfirmedCount() == 0U);
 }
 
 // An endpoint that restarts begins to count again, and its new entry is the valid one.
