--- a/tests/Adapter/StoreStandIn.cpp
+++ b/tests/Adapter/StoreStandIn.cpp
@@ -35,6 +35,8 @@
         else if (target.starts_with("/-/rows-feed"))
             this->store.handleFeed({ table, std::stoull(queryValue(target, "after")), std::move(respond) },
                 queryValue(target, "wait_ms") != "0");
+        else if (target == "/-/rows-tx")
+            this->store.handleTransaction(request.body(), respond);
         else
             this->store.respondWith(respond, 404, "{}");
     }
@@ -124,6 +126,22 @@
     this->respondWith(respond, 200, this->encodeRows(table, std::nullopt));
 }
 
+void StoreStandIn::handleTransaction(const std::string& body, const HttpRespond& respond)
+{
+    const Json transaction = Json::parse(body);
+    for (const Json& condition : transaction.at("expected")) {
+        const auto row = this->content.rows.find({ condition.at("table"), condition.at("key") });
+        const uint64_t version = row == this->content.rows.end() ? 0 : row->second.version;
+        if (condition.at("ver") != version) {
+            this->respondWith(respond, 412, this->encodeRows(condition.at("table"), std::nullopt));
+            return;
+        }
+    }
+    for (const Json& write : transaction.at("set_keys"))
+        this->put(write.at("table"), write.at("key"), decodeBase64(write.at("value").get<std::string>()).value());
+    this->respondWith(respond, 200, Json { { "ver", this->content.version }, { "now_ms", 1000 } }.dump());
+}
+
 bool StoreStandIn::answerFeed(const FeedRequest& request) const
 {
     for (const auto& [id, row] : this->content.rows) {
--- a/tests/Adapter/StoreStandIn.h
+++ b/tests/Adapter/StoreStandIn.h
@@ -14,8 +14,8 @@
 
 namespace Lavendervane::Adapter {
 
-/// Platform's store with reads and feeds. It can go away and be restored from an older copy, which loses what it has
-/// acknowledged since and assigns the same versions again.
+/// Platform's store with reads, feeds and transactions in one part. It can go away and be restored from an older copy,
+/// which loses what it has acknowledged since and assigns the same versions again.
 class StoreStandIn {
 public:
     explicit StoreStandIn(boost::asio::io_context&);
@@ -35,6 +35,9 @@
     void goAway();
     void comeBack();
 
+    /// Goes back to the previous generation, as seen by a caller whose answer was delayed.
+    void reportEarlierGeneration() { --this->generation; }
+
     uint64_t version() const { return this->content.version; }
 
     bool reportsGeneration = true; ///< the header with the generation is sent
@@ -62,6 +65,7 @@
     void listen(uint16_t port);
     void change(const std::string& table, const std::string& key, Row);
     void handleRead(const std::string& table, const HttpRespond&) const;
+    void handleTransaction(const std::string& body, const HttpRespond&);
     void handleFeed(FeedRequest, bool waitsForChange);
     bool answerFeed(const FeedRequest&) const;
     void respondWith(const HttpRespond&, unsigned status, std::string body) const;
