--- a/src/Fleet/FleetControl.cpp
+++ b/src/Fleet/FleetControl.cpp
@@ -70,8 +70,7 @@
     if (this->shareLeaseManager)
         this->executeShareEffects(this->shareLeaseManager->handle(TableRestored {}, this->timers.now()));
     // Usually the first VM records what is missing for all.
-    this->scheduleRevocationRecords(
-        Duration(static_cast<int64_t>(this->random.below(static_cast<uint64_t>(revocationRecordJitter.count())))));
+    this->scheduleRevocationRecords(this->random.below(revocationRecordJitter));
 }
 
 void FleetControl::scheduleRevocationRecords(Duration delay)
--- a/src/Fleet/FleetMembership.cpp
+++ b/src/Fleet/FleetMembership.cpp
@@ -76,16 +76,11 @@
     return this->onTimer(now);
 }
 
-Duration FleetMembership::randomDuration(Duration bound)
-{
-    return Duration(static_cast<int64_t>(this->random.below(static_cast<uint64_t>(bound.count()))));
-}
-
 std::vector<MembershipEffect> FleetMembership::retryLater(Instant now)
 {
     this->callInProgress = false;
     this->retryDelay = std::clamp(2 * this->retryDelay, this->settings.minRetryDelay, this->settings.maxRetryDelay);
-    return { SetMembershipTimer { now + this->retryDelay + this->randomDuration(this->settings.minRetryDelay) } };
+    return { SetMembershipTimer { now + this->retryDelay + this->random.below(this->settings.minRetryDelay) } };
 }
 
 PublishMembers FleetMembership::makeList() const
@@ -110,8 +105,8 @@
 SetMembershipTimer FleetMembership::nextRefresh(Instant now)
 {
     if (now < this->keepMembersUntil)
-        return { this->keepMembersUntil + this->randomDuration(this->settings.joinJitter) };
-    return { now + this->settings.refreshInterval + this->randomDuration(this->settings.refreshInterval / 4) };
+        return { this->keepMembersUntil + this->random.below(this->settings.joinJitter) };
+    return { now + this->settings.refreshInterval + this->random.below(this->settings.refreshInterval / 4) };
 }
 
 // Members whose rows are lost still hold leases and shares of the limits, so they stay listed until they have had time
@@ -121,7 +116,7 @@
     this->keepMembersUntil = now + this->settings.joinJitter + this->settings.settleTime;
     if (this->callInProgress || this->settling || !this->joined)
         return {};
-    return { SetMembershipTimer { now + this->randomDuration(this->settings.joinJitter) } };
+    return { SetMembershipTimer { now + this->random.below(this->settings.joinJitter) } };
 }
 
 std::vector<MembershipEffect> FleetMembership::onRead(const TableReply& reply, Instant now)
@@ -138,7 +133,7 @@
         this->members.emplace(member.vm, std::move(member));
     const bool isFirst = !std::exchange(this->hasRead, true);
     if (!this->isListed(reply.result.rows, tableNow))
-        return { SetMembershipTimer { now + this->randomDuration(this->settings.joinJitter) } };
+        return { SetMembershipTimer { now + this->random.below(this->settings.joinJitter) } };
     if (isFirst) {
         // An earlier run of this VM is listed, so the fleet knows this VM and is not starting.
         this->joined = true;
--- a/src/Fleet/FleetMembership.h
+++ b/src/Fleet/FleetMembership.h
@@ -108,7 +108,6 @@
     Effects writeRow(Instant now);
     Effects retryLater(Instant now);
     PublishMembers makeList() const;
-    Duration randomDuration(Duration bound);
 
     FleetMember self;
     FleetMembershipSettings settings;
--- a/src/Limits/ShareLeaseManager.cpp
+++ b/src/Limits/ShareLeaseManager.cpp
@@ -37,17 +37,12 @@
     const uint64_t tableNow = this->clock.lowerBound(now);
     const bool isRestored = this->ledger->generation() && this->ledger->generation() < this->generation;
     if (!lease || lease->expiresAtMs <= tableNow || isRestored)
-        return { SetShareTimer { now + this->randomDuration(this->settings.initialWriteJitter) } };
+        return { SetShareTimer { now + this->random.below(this->settings.initialWriteJitter) } };
     this->exchangeCount = this->settings.earlyExchanges;
     this->heldShare = lease->share;
     this->expiry = now + std::chrono::milliseconds(lease->expiresAtMs - tableNow) - this->clock.uncertainty();
     return { ApplyShare { this->heldShare, this->expiry },
-        SetShareTimer { now + this->randomDuration(this->settings.adoptedWriteJitter) } };
-}
-
-Duration ShareLeaseManager::randomDuration(Duration bound)
-{
-    return Duration(static_cast<int64_t>(this->random.below(static_cast<uint64_t>(bound.count()))));
+        SetShareTimer { now + this->random.below(this->settings.adoptedWriteJitter) } };
 }
 
 std::vector<ShareEffect> ShareLeaseManager::handle(const ShareEvent& event, Instant now)
@@ -70,7 +65,7 @@
     if (this->callInProgress || (this->stopping && !this->repeatsStop))
         return {};
     if (this->ledger && this->mustWaitUntilSettled(now))
-        return this->waitUntilSettled(now);
+        return { this->waitUntilSettled(now) };
     this->callInProgress = true;
     if (!this->initialReadDone || !this->ledger || now < this->nextWriteAt)
         return { ReadLedger {} };
@@ -104,7 +99,7 @@
         && this->ledger->isSettling(this->clock.lowerBound(now));
 }
 
-std::vector<ShareEffect> ShareLeaseManager::waitUntilSettled(Instant now)
+SetShareTimer ShareLeaseManager::waitUntilSettled(Instant now)
 {
     this->callInProgress = false;
     this->exchangeCount = 0;
@@ -112,7 +107,7 @@
     const auto wait = std::chrono::milliseconds(std::max(this->ledger->settlesAt(), tableNow) - tableNow);
     // The ledger changes until then.
     this->ledger.reset();
-    return { SetShareTimer { now + wait + this->randomDuration(this->settings.initialWriteJitter) } };
+    return { SetShareTimer { now + wait + this->random.below(this->settings.initialWriteJitter) } };
 }
 
 std::vector<ShareEffect> ShareLeaseManager::onTableRestored(Instant now)
@@ -120,7 +115,7 @@
     this->ledger.reset();
     if (this->callInProgress || this->stopping || !this->heldShare)
         return {};
-    return { SetShareTimer { now + this->randomDuration(this->settings.claimJitter) } };
+    return { SetShareTimer { now + this->random.below(this->settings.claimJitter) } };
 }
 
 std::vector<ShareEffect> ShareLeaseManager::onLedgerRead(const LedgerReadCompleted& event, Instant now)
@@ -132,7 +127,7 @@
     if (this->stopping)
         return this->writeLedger(now);
     if (this->mustWaitUntilSettled(now))
-        return this->waitUntilSettled(now);
+        return { this->waitUntilSettled(now) };
     if (!this->initialReadDone)
         return this->adoptEarlierShare(now);
     return now < this->nextWriteAt ? this->renewIfEligible(now) : this->writeLedger(now);
@@ -155,7 +150,7 @@
     const Duration interval = ++this->exchangeCount < this->settings.earlyExchanges
         ? this->settings.earlyInterval
         : std::max(this->settings.renewInterval, this->settings.renewIntervalPerVm * members);
-    return interval + this->randomDuration(interval / 4);
+    return interval + this->random.below(interval / 4);
 }
 
 std::vector<ShareEffect> ShareLeaseManager::writeLedger(Instant now)
@@ -206,7 +201,7 @@
         // would conflict again, so the ledger is read first.
         if (this->conflictDelay > this->settings.minConflictDelay)
             this->ledger.reset();
-        return { SetShareTimer { now + this->randomDuration(this->conflictDelay) } };
+        return { SetShareTimer { now + this->random.below(this->conflictDelay) } };
     }
     if (status != TableStatus::Done) {
         // The outcome of the write is unknown, so the ledger has to be read again.
@@ -220,7 +215,7 @@
     if (this->stopping)
         return this->writeLedger(now);
     if (this->mustWaitUntilSettled(now))
-        return this->waitUntilSettled(now);
+        return { this->waitUntilSettled(now) };
     this->heldShare = this->pendingShare;
     this->expiry = this->pendingExpiry;
     this->retryDelay = {};
@@ -232,7 +227,7 @@
         = this->heldShare ? Instant {} : now + std::chrono::milliseconds(this->settings.ledger.lifetimeMs) / 3;
     const ApplyShare apply { this->heldShare, this->expiry };
     if (this->ledger->isSettling(this->clock.lowerBound(now)))
-        return { apply, this->waitUntilSettled(now).front() };
+        return { apply, this->waitUntilSettled(now) };
     return { apply, SetShareTimer { now + this->nextInterval() } };
 }
 
@@ -240,7 +235,7 @@
 {
     this->callInProgress = false;
     this->retryDelay = std::clamp(2 * this->retryDelay, this->settings.minRetryDelay, this->settings.maxRetryDelay);
-    return { SetShareTimer { now + this->retryDelay + this->randomDuration(this->settings.minRetryDelay) } };
+    return { SetShareTimer { now + this->retryDelay + this->random.below(this->settings.minRetryDelay) } };
 }
 
 std::vector<ShareEffect> ShareLeaseManager::onStopRequested(const ShareStopRequested& request, Instant now)
@@ -260,7 +255,7 @@
     this->exchangeCount = 0;
     if (this->callInProgress || this->stopping)
         return {};
-    return { SetShareTimer { now + this->randomDuration(this->settings.earlyInterval) } };
+    return { SetShareTimer { now + this->random.below(this->settings.earlyInterval) } };
 }
 
 } // namespace Lavendervane
--- a/src/Limits/ShareLeaseManager.h
+++ b/src/Limits/ShareLeaseManager.h
@@ -115,7 +115,7 @@
     Effects onStopRequested(const ShareStopRequested&, Instant now);
     Effects onHoldersChanged(Instant now);
     Effects onTableRestored(Instant now);
-    Effects waitUntilSettled(Instant now);
+    SetShareTimer waitUntilSettled(Instant now);
     bool mustWaitUntilSettled(Instant now) const;
     Effects writeLedger(Instant now);
     Effects scheduleRetry(Instant now);
@@ -123,7 +123,6 @@
     Duration nextInterval();
     Effects adoptEarlierShare(Instant now);
     bool loadLedger(const TableReply&);
-    Duration randomDuration(Duration bound);
 
     ShareLedger::Holder holder;
     ShareLeaseSettings settings;
