Log from when on a VM takes an endpoint for leaving, and who sends it what

The logs could not tell why an endpoint gets statements after its drain time: not from when on a VM counts it, nor by whose word, nor which VMs passed a statement on. New lines endpoint_draining and statement_to_draining, new counter lavendervane_statements_to_draining_total.

--- a/src/Fleet/Directory.h
+++ b/src/Fleet/Directory.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -76,6 +77,14 @@
     bool draining = false;
     EndpointRole role = EndpointRole::Replica;
     uint64_t startedAt = 0; ///< Unix time in ms; changes when the endpoint restarts
+    /// Time from which on the endpoint gets no new work, while it is draining. Not part of the registry entry.
+    std::optional<Instant> workEnd;
+
+    /// Returns the time for which the endpoint still gets new work, while it is draining.
+    Duration remainingWorkTime(Instant now) const
+    {
+        return this->workEnd && *this->workEnd > now ? *this->workEnd - now : Duration {};
+    }
 
     /// Returns false if `other` is a different endpoint, or the same one before or after a restart.
     bool isSameRun(const RegisteredEndpoint& other) const
--- a/src/Fleet/DirectoryFeed.h
+++ b/src/Fleet/DirectoryFeed.h
@@ -3,6 +3,7 @@
 #include "Fleet/Directory.h"
 
 #include <cstdint>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -32,6 +33,9 @@
 struct RegistryRead {
     std::vector<RegistryEntry> entries;
     uint64_t generation = 0; ///< generation of the store's content; 0 if it is not reported
+    /// Earliest times, by this VM's clock, at which the entries can have got their present content. Entries whose time
+    /// is unknown are missing, such as all that a VM finds when it starts.
+    std::map<EndpointId, Instant> earliestChanges {};
 };
 
 /// Receives configuration and registry. Called on the control thread.
--- a/src/Fleet/EntryDaemon.cpp
+++ b/src/Fleet/EntryDaemon.cpp
@@ -100,6 +100,15 @@
                 { "endpoint", failed.endpoint.str() }, { "reason", failed.reason } });
     }
 
+    void sentToDraining(const StatementToDraining& sent) override
+    {
+        this->metrics.sentToDraining();
+        const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(sent.workTimeLeft).count();
+        this->log.write("statement_to_draining",
+            { { "request", sent.id }, { "endpoint", sent.endpoint.str() }, { "from", sent.from }, { "via", sent.via },
+                { "work_ends_in_ms", std::to_string(left) } });
+    }
+
     void statementDone(bool atReplica, Duration took) override { this->metrics.statementDone(atReplica, took); }
 
     void endpointChanged(const EndpointId& endpoint, std::string_view change) override
@@ -284,6 +293,11 @@
 private:
     bool ready() const { return !this->stopping && !this->isolated && this->control.ready(); }
 
+    static Duration drainLimit(const EntryDaemonSettings& settings)
+    {
+        return std::max(settings.endpointDrainTime - drainMargin, settings.endpointDrainTime / 2);
+    }
+
     static StatementServiceSettings serviceSettings(const EntryDaemonSettings& settings)
     {
         StatementServiceSettings service;
@@ -294,7 +308,7 @@
         service.limitSlack = settings.limitSlack;
         if (!settings.endpointsAreFenced)
             service.primaryLease.duration = primaryLeaseDuration;
-        service.drainLimit = std::max(settings.endpointDrainTime - drainMargin, settings.endpointDrainTime / 2);
+        service.drainLimit = drainLimit(settings);
         return service;
     }
 
@@ -305,6 +319,7 @@
         control.runId = settings.runId;
         if (!settings.endpointsAreFenced)
             control.promotion.primaryLease = primaryLeaseDuration;
+        control.drainLimit = drainLimit(settings);
         control.seed = stableHash(settings.vm.str() + settings.runId);
         return control;
     }
--- a/src/Fleet/FleetControl.cpp
+++ b/src/Fleet/FleetControl.cpp
@@ -34,6 +34,7 @@
     , promotionCoordinator(this->settings.self.vm, this->settings.runId, this->settings.promotion)
     , random(this->settings.seed)
     , digestKey(randomBytes(digestKeyBytes))
+    , drainClock(this->settings.drainLimit)
     , lifetime(std::make_shared<int>(0))
 {
 }
@@ -189,7 +190,7 @@
 
 bool FleetControl::onRegistryRead(const RegistryRead& read)
 {
-    this->updateRegistry(this->registryFilter.update(read));
+    this->updateRegistry(this->registryFilter.update(read), read);
     const size_t unconfirmed = this->registryFilter.unconfirmedCount();
     if (unconfirmed)
         this->log.write("registry_unconfirmed",
@@ -197,10 +198,11 @@
     return unconfirmed > 0;
 }
 
-void FleetControl::updateRegistry(std::vector<RegisteredEndpoint> endpoints)
+void FleetControl::updateRegistry(std::vector<RegisteredEndpoint> endpoints, const RegistryRead& read)
 {
     this->hasRegistry = true;
     const Instant now = this->timers.now();
+    const auto newlyDraining = this->drainClock.update(endpoints, read.earliestChanges, now);
     std::map<EndpointId, RegisteredEndpoint> present;
     for (RegisteredEndpoint& endpoint : endpoints) {
         const EndpointId id = endpoint.id;
@@ -229,10 +231,29 @@
         [this](const auto& entry) { return this->lapseTimes.find(entry.first) == this->lapseTimes.end(); });
     for (auto& [id, endpoint] : present)
         this->registry.insert_or_assign(id, std::move(endpoint));
+    for (const EndpointId& id : newlyDraining)
+        this->logDraining(this->registry.at(id));
     this->dropLapsedEndpoints();
     this->publishDirectory();
 }
 
+static std::string millisecondsText(Duration duration)
+{
+    return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
+}
+
+void FleetControl::logDraining(const RegisteredEndpoint& endpoint)
+{
+    const Instant now = this->timers.now();
+    const auto start = this->drainClock.earliestStart(endpoint);
+    this->log.write("endpoint_draining",
+        { { "endpoint", endpoint.id.str() }, { "group", endpoint.group.str() },
+            { "source", start ? "change" : "first_read" },
+            { "since_ms", start ? millisecondsText(now - *start) : std::string("unknown") },
+            { "work_ends_in_ms",
+                start ? millisecondsText(*start + this->settings.drainLimit - now) : std::string("ended") } });
+}
+
 // Removes endpoints whose grace time is over and schedules the next check.
 void FleetControl::dropLapsedEndpoints()
 {
@@ -287,8 +308,10 @@
     if (!this->configuration || !this->hasRegistry)
         return;
     std::vector<RegisteredEndpoint> endpoints;
-    for (const auto& [id, endpoint] : this->registry)
+    for (const auto& [id, endpoint] : this->registry) {
         endpoints.push_back(endpoint);
+        endpoints.back().workEnd = this->drainClock.workEnd(endpoint);
+    }
     RegistryUpdated update { endpoints, {} };
     for (const GroupDeclaration& group : this->configuration->groups)
         update.synchronousReplicas[group.name] = group.synchronousReplicas;
--- a/src/Fleet/FleetControl.h
+++ b/src/Fleet/FleetControl.h
@@ -3,6 +3,7 @@
 #include "Core/RandomGenerator.h"
 #include "Fleet/Directory.h"
 #include "Fleet/DirectoryFeed.h"
+#include "Fleet/DrainClock.h"
 #include "Fleet/FleetMembership.h"
 #include "Fleet/RegistryFilter.h"
 #include "Fleet/TableStore.h"
@@ -33,6 +34,8 @@
     /// Time after which an endpoint with a lapsed registration is removed. Registrations that lapse while the store is
     /// unavailable are renewed within two seconds of its return.
     Duration lapseGrace = std::chrono::milliseconds(2500);
+    /// Time for which an endpoint gets new work after it has begun to drain. A promotion takes less than 3 s.
+    Duration drainLimit = std::chrono::seconds(5);
 };
 
 /// Interface of FleetControl to the traffic thread. Calls return immediately; the work is done on the traffic thread.
@@ -96,7 +99,8 @@
 private:
     void handleTableRestore(uint64_t generation);
     void publishDirectory();
-    void updateRegistry(std::vector<RegisteredEndpoint>);
+    void updateRegistry(std::vector<RegisteredEndpoint>, const RegistryRead&);
+    void logDraining(const RegisteredEndpoint&);
     void dropLapsedEndpoints();
     void handleMembershipEvent(const MembershipEvent&);
     void executeMembershipEffect(const MembershipEffect&);
@@ -136,6 +140,7 @@
     std::shared_ptr<const SessionConfiguration> configuration;
     RegistryFilter registryFilter;
     std::map<EndpointId, RegisteredEndpoint> registry;
+    DrainClock drainClock;
     std::map<EndpointId, Instant> lapseTimes;
     bool hasRegistry = false;
     bool hasShares = false;
--- a/src/Http/HttpConnection.cpp
+++ b/src/Http/HttpConnection.cpp
@@ -2,6 +2,7 @@
 
 #include "Http/Address.h"
 #include "Http/HttpMessages.h"
+#include "Runtime/BootTime.h"
 #include "Runtime/SocketOptions.h"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -130,10 +131,12 @@
     {
         this->stream.expires_after(this->timeout);
         http::async_write(this->stream, this->request, [self = this->shared_from_this()](error_code error, size_t) {
-            if (error)
+            if (error) {
                 self->fail(error);
-            else
-                self->receive();
+                return;
+            }
+            self->writtenAt = bootTimeNow();
+            self->receive();
         });
     }
 
@@ -152,7 +155,7 @@
                     self->close();
                 auto headers = copyHeaders(response);
                 self->finish({ ExchangeStatus::Answered, response.result_int(), std::move(response.body()), "", false,
-                    std::move(headers) });
+                    std::move(headers), self->writtenAt });
             });
     }
 
@@ -175,6 +178,7 @@
 
     beast::tcp_stream stream;
     std::chrono::milliseconds timeout {};
+    Instant writtenAt {};
     bool isBusy = false;
     bool isClosed = false;
     HttpRequest request;
--- a/src/Http/HttpConnection.h
+++ b/src/Http/HttpConnection.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "Core/Instant.h"
+
 #include <boost/asio/io_context.hpp>
 
 #include <chrono>
@@ -33,6 +35,7 @@
     std::string reason; ///< error message; empty if answered
     bool connectionRefused = false; ///< the peer's host refused the connection, because nothing listens on the port
     std::vector<HttpHeader> headers {};
+    Instant writtenAt {}; ///< time at which the whole request had been passed to the system
 
     /// Returns the value of the first header with this name, in upper or lower case; empty if there is none.
     std::string_view header(std::string_view name) const;
--- a/src/Metrics/SessionMetrics.cpp
+++ b/src/Metrics/SessionMetrics.cpp
@@ -33,6 +33,11 @@
                          .Name("lavendervane_promotion_orders_total")
                          .Help("Orders to promote by this VM, by result")
                          .Register(registry))
+        , drainingStatements(BuildCounter()
+                                 .Name("lavendervane_statements_to_draining_total")
+                                 .Help("Statements that this VM passed on to endpoints that are leaving")
+                                 .Register(registry)
+                                 .Add({}))
         , doneStatements(statements.Add({ { "code", "done" } }))
         , servedAtPrimary(servedStatements.Add({ { "role", "primary" } }))
         , servedAtReplica(servedStatements.Add({ { "role", "replica" } }))
@@ -63,6 +68,7 @@
     Family<Counter>& servedStatements;
     Family<Counter>& endpointChanges;
     Family<Counter>& promotions;
+    Counter& drainingStatements;
     Counter& doneStatements;
     Counter& servedAtPrimary;
     Counter& servedAtReplica;
@@ -99,6 +105,8 @@
     this->families->endpointChanges.Add({ { "change", std::string(change) } }).Increment();
 }
 
+void SessionMetrics::sentToDraining() { this->families->drainingStatements.Increment(); }
+
 void SessionMetrics::setSessions(size_t count) { this->families->sessions.Set(static_cast<double>(count)); }
 
 void SessionMetrics::setConfigurationVersion(uint64_t version)
--- a/src/Metrics/SessionMetrics.h
+++ b/src/Metrics/SessionMetrics.h
@@ -29,6 +29,9 @@
     /// Counts an endpoint that became reachable or unreachable. `change` is "reachable" or "unreachable".
     void endpointChanged(std::string_view change);
 
+    /// Counts a statement that was passed on to an endpoint that is leaving.
+    void sentToDraining();
+
     void setSessions(size_t);
     void setConfigurationVersion(uint64_t);
 
--- a/src/Relay/Relay.cpp
+++ b/src/Relay/Relay.cpp
@@ -49,6 +49,8 @@
         this->end();
     }
 
+    std::string relayAddress() const override { return this->localLink ? std::string() : this->address; }
+
     RelayChannel currentChannel() const { return this->channel; }
 
     void handleChannelClosed()
--- a/src/Relay/RelayServer.cpp
+++ b/src/Relay/RelayServer.cpp
@@ -27,10 +27,11 @@
             this->link->close();
     }
 
-    void open(std::shared_ptr<EndpointPool> pool)
+    void open(std::shared_ptr<EndpointPool> openedPool)
     {
+        this->pool = std::move(openedPool);
         this->link
-            = PooledLink::open(std::move(pool), this->organisation, this->server.numbers, this->server.timers, *this);
+            = PooledLink::open(this->pool, this->organisation, this->server.numbers, this->server.timers, *this);
     }
 
     void send(const RelayBatch& batch)
@@ -40,6 +41,10 @@
             if (!statement.id.empty())
                 this->statementId = statement.id;
         }
+        if (const RegisteredEndpoint& target = this->pool->endpoint(); target.draining && !this->statementId.empty())
+            this->server.log.sentToDraining({ this->statementId, target.id,
+                this->server.transport.peerAddress(this->id.first), "",
+                target.remainingWorkTime(this->server.timers.now()) });
         this->link->send(batch.statements, deadline);
     }
 
@@ -79,6 +84,7 @@
     EndpointId endpoint;
     OrganisationId organisation;
     std::string statementId; ///< caller's identifier of the statement in progress, for the log
+    std::shared_ptr<EndpointPool> pool;
     std::shared_ptr<PooledLink> link;
 };
 
--- a/src/Relay/RelayTransport.h
+++ b/src/Relay/RelayTransport.h
@@ -36,6 +36,9 @@
     /// Closes a connection without a call to the listener.
     virtual void close(RelayChannel) = 0;
 
+    /// Returns the address of the VM at the other end ("IP:port"); empty if the connection has ended.
+    virtual std::string peerAddress(RelayChannel) const = 0;
+
     /// Sets the receiver of messages and events; null removes it.
     virtual void setListener(RelayTransportListener*) = 0;
 };
--- a/src/Relay/TcpRelayTransport.cpp
+++ b/src/Relay/TcpRelayTransport.cpp
@@ -168,6 +168,12 @@
     connection->close();
 }
 
+std::string TcpRelayTransport::peerAddress(RelayChannel channel) const
+{
+    const auto connection = this->connections.find(channel);
+    return connection == this->connections.end() ? std::string() : connection->second->peerAddress();
+}
+
 void TcpRelayTransport::handleFrame(RelayChannel channel, std::string_view frame)
 {
     auto message = decodeRelayMessage(frame);
--- a/src/Relay/TcpRelayTransport.h
+++ b/src/Relay/TcpRelayTransport.h
@@ -21,6 +21,7 @@
     RelayChannel open(const std::string& address) override;
     void send(RelayChannel, const RelayMessage&) override;
     void close(RelayChannel) override;
+    std::string peerAddress(RelayChannel) const override;
     void setListener(RelayTransportListener* target) override { this->listener = target; }
 
 private:
--- a/src/Runtime/SocketOptions.cpp
+++ b/src/Runtime/SocketOptions.cpp
@@ -9,7 +9,8 @@
 static constexpr int keepAliveIdleSeconds = 1;
 static constexpr int keepAliveIntervalSeconds = 1;
 static constexpr int keepAliveProbes = 2;
-static constexpr int unansweredMilliseconds = 3000;
+static constexpr auto unacknowledgedMilliseconds
+    = static_cast<int>(std::chrono::duration_cast<std::chrono::milliseconds>(unacknowledgedLimit).count());
 
 void setConnectionOptions(boost::asio::ip::tcp::socket& socket)
 {
@@ -21,7 +22,7 @@
     socket.set_option(integer<IPPROTO_TCP, TCP_KEEPIDLE>(keepAliveIdleSeconds), ignored);
     socket.set_option(integer<IPPROTO_TCP, TCP_KEEPINTVL>(keepAliveIntervalSeconds), ignored);
     socket.set_option(integer<IPPROTO_TCP, TCP_KEEPCNT>(keepAliveProbes), ignored);
-    socket.set_option(integer<IPPROTO_TCP, TCP_USER_TIMEOUT>(unansweredMilliseconds), ignored);
+    socket.set_option(integer<IPPROTO_TCP, TCP_USER_TIMEOUT>(unacknowledgedMilliseconds), ignored);
 }
 
 } // namespace Lavendervane
--- a/src/Runtime/StreamSocket.cpp
+++ b/src/Runtime/StreamSocket.cpp
@@ -1,5 +1,6 @@
 #include "Runtime/StreamSocket.h"
 
+#include "Http/Address.h"
 #include "Runtime/SocketOptions.h"
 
 #include <boost/asio/buffer.hpp>
@@ -21,6 +22,13 @@
 {
 }
 
+std::string StreamSocket::peerAddress() const
+{
+    error_code error;
+    const auto peer = this->socket.remote_endpoint(error);
+    return error ? std::string() : formatAddress(peer);
+}
+
 void StreamSocket::start()
 {
     this->connectionEstablished = true;
--- a/src/Runtime/StreamSocket.h
+++ b/src/Runtime/StreamSocket.h
@@ -31,6 +31,9 @@
     /// Closes the connection after all bytes written so far have been passed to the system.
     void close();
 
+    /// Returns the address of the peer ("IP:port"); empty if there is no connection.
+    std::string peerAddress() const;
+
     bool isConnected() const { return this->connectionEstablished; }
 
 protected:
--- a/src/Statements/CallerOperation.cpp
+++ b/src/Statements/CallerOperation.cpp
@@ -205,6 +205,9 @@
         this->retry(AnswerCode::Busy, "the endpoint may not be used as the primary any more", {});
         return;
     }
+    if (const RegisteredEndpoint& target = running.pool->endpoint(); target.draining)
+        this->service.log().sentToDraining({ this->currentStatement.id, target.id, "",
+            result.connection->relayAddress(), target.remainingWorkTime(this->service.timers().now()) });
     if (running.startsTransaction)
         this->sendBegin(result.connection);
     else if (running.usesProxyTransaction)
--- a/src/Statements/EndpointLink.h
+++ b/src/Statements/EndpointLink.h
@@ -57,6 +57,9 @@
     /// arrive after `deadline`.
     virtual void send(const std::vector<Statement>&, Instant deadline) = 0;
 
+    /// Address of the VM that relays the statements; empty if the link goes to the endpoint itself.
+    virtual std::string relayAddress() const { return {}; }
+
     /// Closes the link. No call to the listener follows.
     virtual void close() = 0;
 };
--- a/src/Statements/PooledConnection.h
+++ b/src/Statements/PooledConnection.h
@@ -55,6 +55,9 @@
     /// Pool to release the connection to; null after the pool has been destroyed.
     EndpointPool* pool() const { return this->owningPool; }
 
+    /// Address of the VM that relays the statements; empty if the connection goes to the endpoint itself.
+    std::string relayAddress() const { return this->link ? this->link->relayAddress() : std::string(); }
+
     /// Closes the connection. The endpoint rolls back an open transaction.
     void close();
 
--- a/src/Statements/TrafficLog.h
+++ b/src/Statements/TrafficLog.h
@@ -31,6 +31,15 @@
     std::string reason;
 };
 
+/// A statement that this VM passes on to an endpoint that is leaving.
+struct StatementToDraining {
+    std::string id; ///< as the caller gave it
+    EndpointId endpoint;
+    std::string from; ///< address of the VM that relayed the statement to this one; empty if it came from a caller
+    std::string via; ///< address of the VM that owns the connection; empty if it is this VM's own
+    Duration workTimeLeft {}; ///< time until the endpoint accepts no new work, as far as this VM knows
+};
+
 /// Receives the outcome of statements and other traffic events, for logs and metrics. All calls are made on the traffic
 /// thread and must not block.
 class TrafficLog {
@@ -40,6 +49,7 @@
     virtual void statementFailed(const FailedStatement&) = 0;
     virtual void relayFailed(const FailedRelay&) = 0;
     virtual void statementDone(bool atReplica, Duration duration) = 0;
+    virtual void sentToDraining(const StatementToDraining&) = 0;
     virtual void endpointChanged(const EndpointId&, std::string_view change) = 0;
 
     /// Called when the number of open sessions has changed.
--- a/tests/Relay/RelayFleet.cpp
+++ b/tests/Relay/RelayFleet.cpp
@@ -50,6 +50,14 @@
     });
 }
 
+std::string RelayNetwork::Port::peerAddress(RelayChannel channel) const
+{
+    const auto known = this->network.connections.find(channel);
+    if (known == this->network.connections.end())
+        return {};
+    return known->second.from == this->address ? known->second.to : known->second.from;
+}
+
 void RelayNetwork::Port::close(RelayChannel channel) { this->network.drop(channel); }
 
 // Notifies both ends that are still attached. The end that closed the connection ignores the notification.
@@ -113,6 +121,24 @@
     this->vms[vm] = std::make_unique<Vm>(*this, *member, this->isolatedConnector);
 }
 
+void RelayFleet::drain(const std::string& endpoint, Instant workEnd, const Vm& unaware)
+{
+    std::vector<RegisteredEndpoint> endpoints = this->directory->endpoints();
+    for (RegisteredEndpoint& registered : endpoints) {
+        if (registered.id != EndpointId(endpoint))
+            continue;
+        registered.draining = true;
+        registered.workEnd = workEnd;
+    }
+    const auto next = std::make_shared<const Directory>(2,
+        std::make_shared<const SessionConfiguration>(this->directory->configuration()), endpoints,
+        FleetPosition { 0, 9 }, "secret");
+    for (const auto& [name, vm] : this->vms) {
+        if (vm.get() != &unaware)
+            vm->relay.setDirectory(next);
+    }
+}
+
 std::vector<std::string> RelayFleet::ownersOf(const std::string& endpoint) const
 {
     std::vector<std::string> names;
--- a/tests/Relay/RelayFleet.h
+++ b/tests/Relay/RelayFleet.h
@@ -24,6 +24,7 @@
         RelayChannel open(const std::string& address) override;
         void send(RelayChannel, const RelayMessage&) override;
         void close(RelayChannel) override;
+        std::string peerAddress(RelayChannel) const override;
         void setListener(RelayTransportListener* target) override { this->listener = target; }
 
     private:
@@ -85,11 +86,13 @@
     struct Log : TrafficLog {
         void statementFailed(const FailedStatement&) override { }
         void relayFailed(const FailedRelay& failed) override { this->relays.push_back(failed); }
+        void sentToDraining(const StatementToDraining& sent) override { this->toDraining.push_back(sent); }
         void statementDone(bool, Duration) override { }
         void endpointChanged(const EndpointId&, std::string_view) override { }
         void sessionsChanged(size_t) override { }
 
         std::vector<FailedRelay> relays;
+        std::vector<StatementToDraining> toDraining;
     };
 
     struct Observer : EndpointObserver {
@@ -101,6 +104,9 @@
     /// Restarts the VM with a connector that cannot reach the endpoints.
     void cutOffEndpoints(const std::string& vm);
 
+    /// Tells all VMs but `unaware` that the endpoint drains and gets new work until `workEnd`.
+    void drain(const std::string& endpoint, Instant workEnd, const Vm& unaware);
+
     /// Returns the VMs in the order in which a link to the endpoint tries them.
     std::vector<std::string> ownersOf(const std::string& endpoint) const;
 
--- a/tests/Statements/ServiceFixture.h
+++ b/tests/Statements/ServiceFixture.h
@@ -72,6 +72,7 @@
     RelayChannel open(const std::string&) override { return 1; }
     void send(RelayChannel, const RelayMessage&) override { }
     void close(RelayChannel) override { }
+    std::string peerAddress(RelayChannel) const override { return {}; }
     void setListener(RelayTransportListener*) override { }
 };
 
@@ -95,11 +96,13 @@
 public:
     void statementFailed(const FailedStatement& failed) override { this->failed.push_back(failed); }
     void relayFailed(const FailedRelay&) override { }
+    void sentToDraining(const StatementToDraining& sent) override { this->toDraining.push_back(sent); }
     void statementDone(bool, Duration) override { }
     void endpointChanged(const EndpointId&, std::string_view) override { }
     void sessionsChanged(size_t count) override { this->sessions = count; }
 
     std::vector<FailedStatement> failed;
+    std::vector<StatementToDraining> toDraining;
     size_t sessions = 0;
 };
 
