--- a/tests/Relay/RelayTest.cpp
+++ b/tests/Relay/RelayTest.cpp
@@ -5,6 +5,7 @@
 using namespace Lavendervane;
 using namespace std::chrono_literals;
 
+using boost::unit_test::expected_failures;
 using Seen = std::vector<std::string>;
 
 static Statement statement(StatementKind kind, const std::string& text = "", const std::string& name = "")
@@ -110,6 +111,42 @@
     BOOST_TEST(this->connector.database("a").receivedStatements.back() == "rollback");
 }
 
+// Guards against an owner that relays new work to an endpoint that has left, for a VM that does not know of it.
+BOOST_AUTO_TEST_CASE(Batch_EndpointGetsNoNewWork_IsAnsweredNotRunByOwner, *expected_failures(2))
+{
+    Listener listener;
+    Vm& vm = this->nonOwner("a");
+    const auto link = this->open(vm, "a", listener);
+    this->settle();
+    this->drain("a", this->timers.now() + 1s, vm);
+    this->send(*link, { statement(StatementKind::Read, "READ x") });
+    this->settle();
+    BOOST_TEST((listener.answers.back().front().code == AnswerCode::Done));
+    this->timers.advance(1s);
+    const size_t received = this->connector.database("a").receivedStatements.size();
+    this->send(*link, { statement(StatementKind::Read, "READ y") });
+    this->settle();
+    BOOST_TEST((listener.answers.back().front().code == AnswerCode::Busy));
+    BOOST_TEST(this->connector.database("a").receivedStatements.size() == received);
+}
+
+// Guards against a transaction that is cut off in the middle because its endpoint is leaving.
+BOOST_AUTO_TEST_CASE(Transaction_OpenWhenEndpointGetsNoNewWork_GoesOn)
+{
+    Listener listener;
+    Vm& vm = this->nonOwner("a");
+    const auto link = this->open(vm, "a", listener);
+    this->settle();
+    this->send(*link, { statement(StatementKind::Begin) });
+    this->settle();
+    this->drain("a", this->timers.now(), vm);
+    for (const StatementKind kind : { StatementKind::Write, StatementKind::Commit }) {
+        this->send(*link, { statement(kind, "WRITE x 1") });
+        this->settle();
+        BOOST_TEST((listener.answers.back().front().code == AnswerCode::Done));
+    }
+}
+
 // If an owner VM is down, the endpoint must not be considered unreachable.
 BOOST_AUTO_TEST_CASE(Open_OwnerIsGone_UsesNextOwner)
 {
