Reject messages of other VMs that nest too deeply or hold odd numbers

A relay message of a few 100 KB that opens an array with each byte ended the process: the library decodes CBOR recursively and overflowed the stack (Messages_DeeplyNested_AreRejected: memory access violation before). Negative numbers and fractions were converted to huge or undefined ones, and a duration could overflow where it is added to a time.

parseCbor checks the nesting of messages over 2 KiB before it decodes them; shorter ones cannot nest deeply enough. decodeUnsigned accepts whole numbers in range only.

--- a/src/Peers/PeerMessages.cpp
+++ b/src/Peers/PeerMessages.cpp
@@ -1,5 +1,7 @@
 #include "Peers/PeerMessages.h"
 
+#include "Core/StrictJson.h"
+
 #include <nlohmann/json.hpp>
 
 namespace Lavendervane {
@@ -92,7 +94,12 @@
 
 static std::string stringAt(const Json& json, size_t index) { return json.at(index).get<std::string>(); }
 
-static uint64_t numberAt(const Json& json, size_t index) { return json.at(index).get<uint64_t>(); }
+static uint64_t numberAt(const Json& json, size_t index) { return decodeUnsigned(json.at(index)); }
+
+static uint64_t millisecondsAt(const Json& json, size_t index)
+{
+    return decodeUnsigned(json.at(index), maxMessageMilliseconds);
+}
 
 static PrimaryRevocation revocationAt(const Json& json, size_t index)
 {
@@ -128,11 +135,12 @@
             static_cast<Reachability>(reachability) };
     }
     case PromotionNoticeKind:
-        return PromotionNotice { GroupId(stringAt(json, 1)), EndpointId(stringAt(json, 2)), numberAt(json, 3) };
+        return PromotionNotice { GroupId(stringAt(json, 1)), EndpointId(stringAt(json, 2)), millisecondsAt(json, 3) };
     case LeaseRequestKind:
         return LeaseRequest { numberAt(json, 1) };
     case LeaseReplyKind:
-        return LeaseReply { numberAt(json, 1), json.at(2).get<bool>(), numberAt(json, 3), revocationsAt(json, 4) };
+        return LeaseReply { numberAt(json, 1), json.at(2).get<bool>(), millisecondsAt(json, 3),
+            revocationsAt(json, 4) };
     case ConfirmationRequestKind:
         return ConfirmationRequest { numberAt(json, 1) };
     case ConfirmationReplyKind:
@@ -143,7 +151,7 @@
         return RevocationReply { numberAt(json, 1), numberAt(json, 2) };
     case MemberAnnouncementKind:
         return MemberAnnouncement { { VmId(stringAt(json, 1)), DataCentre(stringAt(json, 2)), stringAt(json, 3),
-            json.at(4).get<uint32_t>() } };
+            decodeUnsignedAs<uint32_t>(json.at(4)) } };
     default:
         return std::nullopt; // message of a newer program version
     }
@@ -159,8 +167,8 @@
 std::optional<PeerMessage> decodePeerMessage(std::string_view bytes)
 {
     try {
-        return decode(Json::from_cbor(bytes));
-    } catch (const Json::exception&) {
+        return decode(parseCbor(bytes));
+    } catch (const std::exception&) {
         return std::nullopt; // the caller logs the error
     }
 }
--- a/src/Relay/RelayMessages.cpp
+++ b/src/Relay/RelayMessages.cpp
@@ -1,5 +1,7 @@
 #include "Relay/RelayMessages.h"
 
+#include "Core/StrictJson.h"
+
 #include <nlohmann/json.hpp>
 
 namespace Lavendervane {
@@ -30,7 +32,7 @@
 
 static LogPosition decodePosition(const Json& json)
 {
-    return { { json.at(0).get<uint64_t>(), VmId(json.at(1).get<std::string>()) }, json.at(2).get<uint64_t>() };
+    return { { decodeUnsigned(json.at(0)), VmId(json.at(1).get<std::string>()) }, decodeUnsigned(json.at(2)) };
 }
 
 static std::optional<LogPosition> decodeOptionalPosition(const Json& json)
@@ -43,7 +45,7 @@
 // Throws Json::exception if the number is higher than that of `last`, the last enumerator.
 template <typename Enumeration> static Enumeration decodeEnumeration(const Json& json, Enumeration last)
 {
-    const auto value = json.get<uint64_t>();
+    const auto value = decodeUnsigned(json);
     if (value > static_cast<uint64_t>(last))
         throw Json::other_error::create(500, "unknown enumerator", &json);
     return static_cast<Enumeration>(value);
@@ -63,7 +65,7 @@
     statement.text = json.at(2).get<std::string>();
     statement.name = json.at(3).get<std::string>();
     statement.effect = decodeEnumeration(json.at(4), PreparedEffect::Write);
-    statement.term = json.at(5).get<uint64_t>();
+    statement.term = decodeUnsigned(json.at(5));
     statement.requiredPosition = decodeOptionalPosition(json.at(6));
     return statement;
 }
@@ -88,7 +90,7 @@
     answer.position = decodeOptionalPosition(json.at(4));
     if (const Json& status = json.at(5); !status.is_null())
         answer.status = EndpointStatus { decodeEnumeration(status.at(0), EndpointRole::Replica),
-            status.at(1).get<uint64_t>(), decodePosition(status.at(2)) };
+            decodeUnsigned(status.at(1)), decodePosition(status.at(2)) };
     return answer;
 }
 
@@ -127,15 +129,15 @@
 
 static std::optional<RelayMessage> decode(const Json& json)
 {
-    const auto link = json.at(1).get<uint64_t>();
-    switch (json.at(0).get<uint64_t>()) {
+    const auto link = decodeUnsigned(json.at(1));
+    switch (decodeUnsigned(json.at(0))) {
     case OpenKind:
         return RelayOpen { link, GroupId(json.at(2).get<std::string>()), EndpointId(json.at(3).get<std::string>()),
             OrganisationId(json.at(4).get<std::string>()) };
     case OpenedKind:
         return RelayOpened { link };
     case BatchKind: {
-        RelayBatch batch { link, json.at(2).get<uint64_t>(), {} };
+        RelayBatch batch { link, decodeUnsigned(json.at(2), maxMessageMilliseconds), {} };
         for (const Json& statement : json.at(3))
             batch.statements.push_back(decodeStatement(statement));
         return batch;
@@ -166,8 +168,8 @@
 std::optional<RelayMessage> decodeRelayMessage(std::string_view bytes)
 {
     try {
-        return decode(Json::from_cbor(bytes));
-    } catch (const Json::exception&) {
+        return decode(parseCbor(bytes));
+    } catch (const std::exception&) {
         return std::nullopt; // the transport logs the error and closes the connection
     }
 }
--- a/tests/Adapter/DecoderFuzzTest.cpp
+++ b/tests/Adapter/DecoderFuzzTest.cpp
@@ -76,8 +76,8 @@
                 "limits":{"tx_idle_ms":3000},"tenants":[{"name":"o","api_keys":["k"],"rate_per_s":9,"burst":9}]})",
             [](const std::string& bytes) { decodeConfiguration(bytes); } },
         { "registry entry",
-            R"({"service":"g","address":"10.1.0.9:8080","zone":"a","slots":2,"state":"ready","db_role":"replica",
-                "sequence":4,"born":1700000000000})",
+            R"({"service":"g","address":"10.1.0.9:8080","zone":"a","version":"v1","slots":2,"state":"ready",
+                "cold_remaining_ms":0,"db_role":"replica","sequence":4,"born":1700000000000})",
             [](const std::string& bytes) { decodeRegistryEntry("i-1", bytes); } },
         { "rows", R"({"rows":[{"key":"a","value":"bm9kZS0w","ver":4,"deleted":false}],"ver":9,"now_ms":51230})",
             [](const std::string& bytes) { decodeStoreRows(bytes); } },
@@ -91,7 +91,7 @@
             R"({"holders":{"vm":{"run":"1","data_centre":"a","address":"x","processor":100,"until":9,"share":5}},
                 "generation":2,"settles_at":7})",
             [](const std::string& bytes) { ShareLedger::parse(bytes); } },
-        { "member row", R"({"vm":"a","data_centre":"dc","address":"x:1","processor":100,"until":9000})",
+        { "member row", R"({"vm":"a","data_centre":"dc","address":"10.0.0.1:7560","processor":100,"until":9000})",
             [](const std::string& bytes) {
                 FleetMembership::parseRows({ { "member/a", 1, bytes } }, 5000, {});
             } },
@@ -152,4 +152,18 @@
     }
 }
 
+// Guards against a stack that overflows on a message of another VM. CBOR opens an array with one byte.
+BOOST_AUTO_TEST_CASE(Messages_DeeplyNested_AreRejected)
+{
+    for (const size_t depth : { 100U, 1'000U, 100'000U, 4'000'000U }) {
+        for (const char* opening : { "\x81", "\xa1\x61\x61", "\x9f", "\xbf\x61\x61" }) {
+            std::string bytes;
+            while (bytes.size() < depth)
+                bytes += opening;
+            BOOST_TEST(!decodeRelayMessage(bytes));
+            BOOST_TEST(!decodePeerMessage(bytes));
+        }
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
