Reject odd entries in the lists that VMs read

A row of the list of VMs whose address has a port out of range, or is no address, ended every VM that read it: the datagram to it threw in the traffic thread.

Rows and entries are checked when they are read, addresses once more before a datagram is sent.

--- a/src/Fleet/DrainClock.cpp
+++ b/src/Fleet/DrainClock.cpp
@@ -11,8 +11,8 @@
 {
 }
 
-std::vector<EndpointId> DrainClock::update(const std::vector<RegisteredEndpoint>& endpoints,
-    const std::map<EndpointId, Instant>& earliestChanges, Instant now)
+std::vector<EndpointId> DrainClock::update(
+    const std::vector<RegisteredEndpoint>& endpoints, const std::map<EndpointId, Instant>& earliestChanges, Instant now)
 {
     std::vector<EndpointId> added;
     for (const RegisteredEndpoint& endpoint : endpoints) {
--- a/src/Fleet/DrainClock.h
+++ b/src/Fleet/DrainClock.h
@@ -19,8 +19,8 @@
 
     /// Takes account of the endpoints in the registry, with the earliest times of their last changes where known.
     /// Returns the endpoints that were not known to be draining before.
-    std::vector<EndpointId> update(const std::vector<RegisteredEndpoint>&,
-        const std::map<EndpointId, Instant>& earliestChanges, Instant now);
+    std::vector<EndpointId> update(
+        const std::vector<RegisteredEndpoint>&, const std::map<EndpointId, Instant>& earliestChanges, Instant now);
 
     /// Earliest time at which the endpoint can have begun to drain; nothing if it is unknown or does not drain.
     std::optional<Instant> earliestStart(const RegisteredEndpoint&) const;
--- a/src/Fleet/EntryDaemon.cpp
+++ b/src/Fleet/EntryDaemon.cpp
@@ -33,8 +33,8 @@
 // Interval at which a stopping VM checks whether all sessions have ended.
 static constexpr auto sessionCheckInterval = std::chrono::milliseconds(50);
 
-// Part of the drain time that cannot be used. A statement that was sent may be on its way to the endpoint for as long as
-// its time limit, usually less than one second, and a transaction sends its first statement after its begin.
+// Part of the drain time that cannot be used. A statement that was sent may be on its way to the endpoint for as long
+// as its time limit, usually less than one second, and a transaction sends its first statement after its begin.
 static constexpr auto drainMargin = std::chrono::milliseconds(2000);
 
 // Time limit for returning the share of the limits when the VM stops.
--- a/src/Fleet/FleetMembership.cpp
+++ b/src/Fleet/FleetMembership.cpp
@@ -1,5 +1,8 @@
 #include "Fleet/FleetMembership.h"
 
+#include "Core/StrictJson.h"
+#include "Http/Address.h"
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -25,12 +28,12 @@
         parsed.member.vm = VmId(json.at("vm").get<std::string>());
         parsed.member.dataCentre = DataCentre(json.at("data_centre").get<std::string>());
         parsed.member.address = json.at("address").get<std::string>();
-        parsed.member.cpuMillicores = json.at("processor").get<uint32_t>();
-        parsed.expiresAtMs = json.at("until").get<uint64_t>();
-        if (row.key != FleetMembership::keyPrefix + parsed.member.vm.str())
+        parsed.member.cpuMillicores = decodeUnsignedAs<uint32_t>(json.at("processor"));
+        parsed.expiresAtMs = decodeUnsigned(json.at("until"));
+        if (row.key != FleetMembership::keyPrefix + parsed.member.vm.str() || !isConnectable(parsed.member.address))
             return std::nullopt;
         return parsed;
-    } catch (const Json::exception&) {
+    } catch (const std::exception&) {
         // The row was written by another version of the program. Its VM is unknown to this one.
         return std::nullopt;
     }
--- a/src/Fleet/StoreClock.cpp
+++ b/src/Fleet/StoreClock.cpp
@@ -14,8 +14,7 @@
 // as the reference tells.
 static Instant extrapolate(const TableClock& reference, const TableClock& reading)
 {
-    const auto elapsedMs
-        = static_cast<int64_t>(reading.milliseconds) - static_cast<int64_t>(reference.milliseconds);
+    const auto elapsedMs = static_cast<int64_t>(reading.milliseconds) - static_cast<int64_t>(reference.milliseconds);
     const Duration elapsed = std::chrono::milliseconds(elapsedMs);
     const Duration error = std::chrono::abs(elapsed) * rateTolerance / 1000 + resolution;
     return reference.sent + elapsed - error;
--- a/src/Http/Address.cpp
+++ b/src/Http/Address.cpp
@@ -26,6 +26,16 @@
     return { ip, port };
 }
 
+bool isConnectable(const std::string& address)
+{
+    try {
+        const auto parsed = parseAddress(address);
+        return parsed.port() && !parsed.address().is_unspecified();
+    } catch (const Error&) {
+        return false;
+    }
+}
+
 std::string formatAddress(const boost::asio::ip::tcp::endpoint& endpoint)
 {
     std::ostringstream text;
--- a/src/Limits/ShareLedger.cpp
+++ b/src/Limits/ShareLedger.cpp
@@ -2,6 +2,7 @@
 
 #include "Core/Error.h"
 #include "Core/Rendezvous.h"
+#include "Core/StrictJson.h"
 #include "Limits/LimitShares.h"
 
 #include <nlohmann/json.hpp>
@@ -24,9 +25,9 @@
             parsed.runId = entry.at("run").get<std::string>();
             parsed.dataCentre = DataCentre(entry.at("data_centre").get<std::string>());
             parsed.address = entry.at("address").get<std::string>();
-            parsed.cpuMillicores = entry.at("processor").get<uint32_t>();
-            parsed.expiresAtMs = entry.at("until").get<uint64_t>();
-            parsed.share = entry.at("share").get<uint32_t>();
+            parsed.cpuMillicores = decodeUnsignedAs<uint32_t>(entry.at("processor"));
+            parsed.expiresAtMs = decodeUnsigned(entry.at("until"));
+            parsed.share = decodeUnsignedAs<uint32_t>(entry.at("share"));
             parsed.generation = entry.value("generation", uint64_t { 0 });
             ledger.entries.emplace(vm, std::move(parsed));
         }
--- a/src/Peers/DatagramPeers.cpp
+++ b/src/Peers/DatagramPeers.cpp
@@ -40,6 +40,11 @@
 
 void DatagramPeers::send(const std::string& address, const PeerMessage& message)
 {
+    // Addresses come from rows and messages of other VMs.
+    if (!isConnectable(address)) {
+        LOG_EVERY_N(WARNING, 100) << "send to peer " << address << ": not an address";
+        return;
+    }
     error_code error;
     this->socket.send_to(asio::buffer(encodePeerMessage(message)), parseUdpEndpoint(address), 0, error);
     if (error) {
--- a/src/Relay/RelayServer.cpp
+++ b/src/Relay/RelayServer.cpp
@@ -30,8 +30,7 @@
     void open(std::shared_ptr<EndpointPool> openedPool)
     {
         this->pool = std::move(openedPool);
-        this->link
-            = PooledLink::open(this->pool, this->organisation, this->server.numbers, this->server.timers, *this);
+        this->link = PooledLink::open(this->pool, this->organisation, this->server.numbers, this->server.timers, *this);
     }
 
     void send(const RelayBatch& batch)
@@ -42,9 +41,9 @@
                 this->statementId = statement.id;
         }
         if (const RegisteredEndpoint& target = this->pool->endpoint(); target.draining && !this->statementId.empty())
-            this->server.log.sentToDraining({ this->statementId, target.id,
-                this->server.transport.peerAddress(this->id.first), "",
-                target.remainingWorkTime(this->server.timers.now()) });
+            this->server.log.sentToDraining(
+                { this->statementId, target.id, this->server.transport.peerAddress(this->id.first), "",
+                    target.remainingWorkTime(this->server.timers.now()) });
         this->link->send(batch.statements, deadline);
     }
 
--- a/src/Statements/StatementService.cpp
+++ b/src/Statements/StatementService.cpp
@@ -77,8 +77,8 @@
     for (const auto& [name, endpoints] : members) {
         auto& group = this->groups[name];
         if (!group)
-            group = std::make_unique<GroupTraffic>(name,
-                GroupTrafficSettings { this->options.dataCentre }, this->clock, this->connector, this->relay, static_cast<EndpointObserver&>(*this));
+            group = std::make_unique<GroupTraffic>(name, GroupTrafficSettings { this->options.dataCentre }, this->clock,
+                this->connector, this->relay, static_cast<EndpointObserver&>(*this));
         group->update(endpoints, *this->currentDirectory);
     }
     std::erase_if(this->groups, [&members](const auto& entry) {
