--- a/tests/Adapter/StoreStandIn.cpp
+++ b/tests/Adapter/StoreStandIn.cpp
@@ -4,6 +4,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <chrono>
 #include <utility>
 
 namespace Lavendervane::Adapter {
@@ -12,11 +13,25 @@
 
 static std::string queryValue(const std::string& target, const std::string& name)
 {
-    const size_t start = target.find(name + "=");
+    // The character before the name keeps "to" from being found in another name.
+    const size_t separator = target.find_first_of("?&");
+    size_t start = separator;
+    while (start != std::string::npos && target.compare(start + 1, name.size() + 1, name + "="))
+        start = target.find('&', start + 1);
     if (start == std::string::npos)
         return "";
-    const size_t from = start + name.size() + 1;
-    return target.substr(from, target.find('&', from) - from);
+    const size_t from = start + 1 + name.size() + 1;
+    const std::string escaped = target.substr(from, target.find('&', from) - from);
+    std::string value;
+    for (size_t index = 0; index < escaped.size(); ++index) {
+        if (escaped[index] == '%') {
+            value.push_back(static_cast<char>(std::stoi(escaped.substr(index + 1, 2), nullptr, 16)));
+            index += 2;
+        } else {
+            value.push_back(escaped[index]);
+        }
+    }
+    return value;
 }
 
 class StoreStandIn::Handler : public HttpHandler {
@@ -31,7 +46,7 @@
         const std::string target(request.target());
         const std::string table = queryValue(target, "table");
         if (target.starts_with("/-/rows-get"))
-            this->store.handleRead(table, respond);
+            this->store.handleRead(target, respond);
         else if (target.starts_with("/-/rows-feed"))
             this->store.handleFeed({ table, std::stoull(queryValue(target, "after")), std::move(respond) },
                 queryValue(target, "wait_ms") != "0");
@@ -107,23 +122,39 @@
     respond(std::move(response));
 }
 
-std::string StoreStandIn::encodeRows(const std::string& table, std::optional<uint64_t> after) const
+std::optional<std::string> StoreStandIn::find(const std::string& table, const std::string& key) const
+{
+    const auto row = this->content.rows.find({ table, key });
+    if (row == this->content.rows.end() || row->second.deleted)
+        return std::nullopt;
+    return row->second.value;
+}
+
+static int64_t clockNowMs()
+{
+    const auto now = std::chrono::steady_clock::now().time_since_epoch();
+    return std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
+}
+
+std::string StoreStandIn::encodeRows(
+    const std::string& table, std::optional<uint64_t> after, const KeyRange& range) const
 {
     Json rows = Json::array();
     for (const auto& [id, row] : this->content.rows) {
-        if (id.first != table || (after ? row.version <= *after : row.deleted))
+        if (id.first != table || !range.contains(id.second) || (after ? row.version <= *after : row.deleted))
             continue;
         Json json { { "key", id.second }, { "ver", row.version }, { "value", encodeBase64(row.value) } };
         if (row.deleted)
             json["deleted"] = true;
         rows.push_back(std::move(json));
     }
-    return Json { { "rows", std::move(rows) }, { "ver", this->content.version }, { "now_ms", 1000 } }.dump();
+    return Json { { "rows", std::move(rows) }, { "ver", this->content.version }, { "now_ms", clockNowMs() } }.dump();
 }
 
-void StoreStandIn::handleRead(const std::string& table, const HttpRespond& respond) const
+void StoreStandIn::handleRead(const std::string& target, const HttpRespond& respond) const
 {
-    this->respondWith(respond, 200, this->encodeRows(table, std::nullopt));
+    const KeyRange range { queryValue(target, "from"), queryValue(target, "to") };
+    this->respondWith(respond, 200, this->encodeRows(queryValue(target, "table"), std::nullopt, range));
 }
 
 void StoreStandIn::handleTransaction(const std::string& body, const HttpRespond& respond)
@@ -139,7 +170,7 @@
     }
     for (const Json& write : transaction.at("set_keys"))
         this->put(write.at("table"), write.at("key"), decodeBase64(write.at("value").get<std::string>()).value());
-    this->respondWith(respond, 200, Json { { "ver", this->content.version }, { "now_ms", 1000 } }.dump());
+    this->respondWith(respond, 200, Json { { "ver", this->content.version }, { "now_ms", clockNowMs() } }.dump());
 }
 
 bool StoreStandIn::answerFeed(const FeedRequest& request) const
--- a/tests/Adapter/StoreStandIn.h
+++ b/tests/Adapter/StoreStandIn.h
@@ -38,6 +38,9 @@
     /// Goes back to the previous generation, as seen by a caller whose answer was delayed.
     void reportEarlierGeneration() { --this->generation; }
 
+    /// Returns the value of a row; nothing if it does not exist.
+    std::optional<std::string> find(const std::string& table, const std::string& key) const;
+
     uint64_t version() const { return this->content.version; }
 
     bool reportsGeneration = true; ///< the header with the generation is sent
@@ -64,12 +67,23 @@
 
     void listen(uint16_t port);
     void change(const std::string& table, const std::string& key, Row);
-    void handleRead(const std::string& table, const HttpRespond&) const;
+    void handleRead(const std::string& target, const HttpRespond&) const;
     void handleTransaction(const std::string& body, const HttpRespond&);
     void handleFeed(FeedRequest, bool waitsForChange);
     bool answerFeed(const FeedRequest&) const;
     void respondWith(const HttpRespond&, unsigned status, std::string body) const;
-    std::string encodeRows(const std::string& table, std::optional<uint64_t> after) const;
+    /// Range of keys from `from`, included, to `to`, excluded; an empty text is no bound.
+    struct KeyRange {
+        std::string from;
+        std::string to;
+
+        bool contains(const std::string& key) const
+        {
+            return key >= this->from && (this->to.empty() || key < this->to);
+        }
+    };
+
+    std::string encodeRows(const std::string& table, std::optional<uint64_t> after, const KeyRange& = {}) const;
 
     boost::asio::io_context& context;
     Content content;
