Relay inspections of leaving endpoints

Since owners refuse new work for a leaving endpoint, they also refused the proxy's own status queries and orders to step down.

Status and StepDown pass at the owner whatever the time. Batch_InspectionOfLeavingEndpoint_IsRelayed failed before and passes.

--- a/src/Relay/PooledLink.cpp
+++ b/src/Relay/PooledLink.cpp
@@ -1,5 +1,6 @@
 #include "Relay/PooledLink.h"
 
+#include <algorithm>
 #include <cassert>
 #include <utility>
 
@@ -55,7 +56,7 @@
         this->answerNotRun("the owner VM cannot reach the endpoint");
         return;
     }
-    if (!this->pool->endpoint().acceptsWork(this->timers.now())) {
+    if (!this->mayBeSent()) {
         this->answerNotRun(endpointIsLeaving);
         return;
     }
@@ -69,6 +70,15 @@
     this->waitNumber = number;
 }
 
+// An endpoint that gets no new work is still asked for its status and told to step down.
+bool PooledLink::mayBeSent() const
+{
+    return this->pool->endpoint().acceptsWork(this->timers.now())
+        || std::all_of(this->statements.begin(), this->statements.end(), [](const Statement& statement) {
+               return statement.kind == StatementKind::Status || statement.kind == StatementKind::StepDown;
+           });
+}
+
 // Applies the leading reset, set-value and prepare statements to the state of the link and returns their number.
 size_t PooledLink::applySessionStatements(const std::vector<Statement>& batch)
 {
@@ -108,7 +118,7 @@
         });
         return;
     }
-    if (!this->connection && !this->pool->endpoint().acceptsWork(this->timers.now())) {
+    if (!this->connection && !this->mayBeSent()) {
         this->releaseConnection(borrowed, false);
         this->answerNotRun(endpointIsLeaving);
         return;
--- a/src/Relay/PooledLink.h
+++ b/src/Relay/PooledLink.h
@@ -36,6 +36,7 @@
 
 private:
     size_t applySessionStatements(const std::vector<Statement>&);
+    bool mayBeSent() const;
     void onConnectionAcquired(const AcquireResult&, Instant deadline);
     bool appendPreparedStatements(PooledConnection&, std::vector<Statement>& batch);
     void onExchangeFinished(const std::shared_ptr<PooledConnection>&, ExchangeResult);
--- a/tests/Relay/RelayTest.cpp
+++ b/tests/Relay/RelayTest.cpp
@@ -129,6 +129,21 @@
     BOOST_TEST(this->connector.database("a").receivedStatements.size() == received);
 }
 
+// Guards against a leaving primary that cannot be told to step down, because its owner refuses to relay the order.
+BOOST_AUTO_TEST_CASE(Batch_InspectionOfLeavingEndpoint_IsRelayed)
+{
+    Listener listener;
+    Vm& vm = this->nonOwner("a");
+    const auto link = this->open(vm, "a", listener);
+    this->settle();
+    this->drain("a", this->timers.now(), vm);
+    for (const StatementKind kind : { StatementKind::Status, StatementKind::StepDown }) {
+        this->send(*link, { statement(kind) });
+        this->settle();
+        BOOST_TEST((listener.answers.back().front().code == AnswerCode::Done));
+    }
+}
+
 // Guards against a transaction that is cut off in the middle because its endpoint is leaving.
 BOOST_AUTO_TEST_CASE(Transaction_OpenWhenEndpointGetsNoNewWork_GoesOn)
 {
