Know the changes up to an answer that the history is lost

When the store drops its history, all VMs read the registry again, and what has changed counted as changed since the previous answer, up to 30 s earlier. An endpoint that had just begun to drain got no work from then on, at any VM. A request that waited at the store has missed nothing until it was answered, so the changes are later than that.

Two cases of FeedClockTest are new: with and without a wait.

--- a/src/Fleet/FeedClock.cpp
+++ b/src/Fleet/FeedClock.cpp
@@ -17,11 +17,23 @@
 
 // A request that waits at the store is answered when a change happens. One that was delayed on its way is answered when
 // it arrives, and the change may have happened at any time since the previous answer.
+bool FeedClock::hasWaitedAtStore(Instant written, Instant answered) const
+{
+    return answered > written + this->deliveryLimit;
+}
+
 std::optional<Instant> FeedClock::handleFeedAnswer(Instant written, Instant answered)
 {
-    const bool waitedAtStore = answered > written + this->deliveryLimit;
     const auto earlier = this->handleTableRead(answered);
-    return waitedAtStore ? answered : earlier;
+    return this->hasWaitedAtStore(written, answered) ? answered : earlier;
+}
+
+// While a request waits, its changes are all reported. Without a wait, the lost history may hold changes that are not
+// known.
+void FeedClock::handleHistoryLost(Instant written, Instant answered)
+{
+    if (this->knownUntil && this->hasWaitedAtStore(written, answered))
+        this->knownUntil = std::max(*this->knownUntil, answered);
 }
 
 } // namespace Lavendervane
--- a/src/Fleet/FeedClock.h
+++ b/src/Fleet/FeedClock.h
@@ -22,7 +22,12 @@
     /// or later. Returns the earliest time of the reported changes; nothing if it is unknown.
     std::optional<Instant> handleFeedAnswer(Instant written, Instant answered);
 
+    /// The feed has answered, at `answered` or later, that it no longer keeps the changes.
+    void handleHistoryLost(Instant written, Instant answered);
+
 private:
+    bool hasWaitedAtStore(Instant written, Instant answered) const;
+
     Duration deliveryLimit;
     std::optional<Instant> knownUntil; ///< all changes up to this time are known
 };
--- a/tests/Fleet/FeedClockTest.cpp
+++ b/tests/Fleet/FeedClockTest.cpp
@@ -47,4 +47,17 @@
     BOOST_TEST((this->clock.handleTableRead(at(150s)) == at(140s)));
 }
 
+// Guards against a change that is taken for much older than it is, because the store dropped its history just then.
+BOOST_AUTO_TEST_CASE(HistoryLost_RequestWaitedAtStore_LaterReadReportsChangesAfterIt)
+{
+    this->clock.handleHistoryLost(at(101s), at(120s));
+    BOOST_TEST((this->clock.handleTableRead(at(121s)) == at(120s)));
+}
+
+BOOST_AUTO_TEST_CASE(HistoryLost_RequestAnsweredAtOnce_LaterReadReportsChangesAfterPreviousAnswer)
+{
+    this->clock.handleHistoryLost(at(119s), at(120s));
+    BOOST_TEST((this->clock.handleTableRead(at(121s)) == at(100s)));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
