Revoke the address of a replaced primary with it

Callers got writes acknowledged that were then lost. While a promotion is under way, a new endpoint may take over the address, log and role of the old primary. It registers as the primary; the VMs used it, because the revocation named the old one only, and where endpoints are not fenced it went on after the promotion took effect. Slow answers of the store made the time between long enough.

A revocation now holds the endpoint's address, in the stored row and in messages, and applies to whatever is registered there. Such an endpoint is no candidate for the promotion and does not end it. Rows and messages without an address are read as before.

Unfenced_EndpointTakesOverAtRevokedAddress_PromotionGoesOn and Revocation_OtherEndpointAtRevokedAddress_IsNotUsed fail when the address is ignored.

--- a/src/Fleet/FleetControl.cpp
+++ b/src/Fleet/FleetControl.cpp
@@ -566,7 +566,7 @@
 {
     this->log.write("primary_revoked",
         { { "group", revocation.group.str() }, { "endpoint", revocation.endpoint.str() },
-            { "number", std::to_string(revocation.number) } });
+            { "address", revocation.address }, { "number", std::to_string(revocation.number) } });
     this->noteRevocation(revocation);
     this->handlePromotionEvent(PrimaryRevocationLearnt { revocation });
     this->publishDirectory();
--- a/src/Peers/PeerMessages.cpp
+++ b/src/Peers/PeerMessages.cpp
@@ -29,7 +29,8 @@
 
 Json encodeRevocation(const PrimaryRevocation& revocation)
 {
-    return Json::array({ revocation.group.str(), revocation.endpoint.str(), revocation.number });
+    return Json::array(
+        { revocation.group.str(), revocation.endpoint.str(), revocation.number, revocation.address });
 }
 
 Json encodeRevocations(const std::vector<PrimaryRevocation>& revocations)
@@ -104,7 +105,9 @@
 static PrimaryRevocation revocationAt(const Json& json, size_t index)
 {
     const Json& entry = json.at(index);
-    return { GroupId(stringAt(entry, 0)), EndpointId(stringAt(entry, 1)), numberAt(entry, 2) };
+    // The address is missing in messages of earlier versions.
+    return { GroupId(stringAt(entry, 0)), EndpointId(stringAt(entry, 1)), numberAt(entry, 2),
+        entry.size() > 3 ? stringAt(entry, 3) : std::string() };
 }
 
 static std::vector<PrimaryRevocation> revocationsAt(const Json& json, size_t index)
--- a/src/PrimaryLease/PrimaryLease.cpp
+++ b/src/PrimaryLease/PrimaryLease.cpp
@@ -94,9 +94,9 @@
         || (this->confirmedAt && this->timers.now() < *this->confirmedAt + this->settings.duration);
 }
 
-bool PrimaryLease::mayUse(const GroupId& group, const EndpointId& endpoint) const
+bool PrimaryLease::mayUse(const RegisteredEndpoint& endpoint) const
 {
-    return !this->isEnabled() || (this->hasLease() && !this->revocations.isRevoked(group, endpoint));
+    return !this->isEnabled() || (this->hasLease() && !this->revocations.isRevoked(endpoint));
 }
 
 void PrimaryLease::renew()
--- a/src/PrimaryLease/PrimaryLease.h
+++ b/src/PrimaryLease/PrimaryLease.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Core/RandomGenerator.h"
+#include "Fleet/Directory.h"
 #include "Limits/ShareLedger.h"
 #include "Peers/PeerTransport.h"
 #include "PrimaryLease/RevocationTable.h"
@@ -63,8 +64,8 @@
 
     void setMembers(const std::vector<FleetMember>&);
 
-    /// Returns true if this VM may use the endpoint as the primary of the group now.
-    bool mayUse(const GroupId&, const EndpointId&) const;
+    /// Returns true if this VM may use the endpoint as the primary of its group now.
+    bool mayUse(const RegisteredEndpoint&) const;
 
     /// Called with true once no VM can hold permission to use the revoked endpoint any more, or with false if no
     /// majority has confirmed the revocation in time.
--- a/src/PrimaryLease/RevocationTable.cpp
+++ b/src/PrimaryLease/RevocationTable.cpp
@@ -13,10 +13,10 @@
     return true;
 }
 
-bool RevocationTable::isRevoked(const GroupId& group, const EndpointId& endpoint) const
+bool RevocationTable::isRevoked(const RegisteredEndpoint& endpoint) const
 {
-    const auto known = this->entries.find(group);
-    return known != this->entries.end() && known->second.revocation.endpoint == endpoint;
+    const auto known = this->entries.find(endpoint.group);
+    return known != this->entries.end() && known->second.revocation.applies(endpoint.id, endpoint.address);
 }
 
 std::vector<PrimaryRevocation> RevocationTable::recent(Instant now, Duration maxAge, size_t limit) const
--- a/src/Promotion/PromotionCoordinator.cpp
+++ b/src/Promotion/PromotionCoordinator.cpp
@@ -44,8 +44,18 @@
     if (endpoint == lease.end() || !endpoint->is_string())
         return std::nullopt;
     const std::string group = row.key.substr(std::char_traits<char>::length(leaseKeyPrefix));
+    // The address is missing in rows of earlier versions.
+    const auto address = lease.find("revoked_address");
+    const bool hasAddress = address != lease.end() && address->is_string();
     return PrimaryRevocation { GroupId(group), EndpointId(endpoint->get<std::string>()),
-        fencingToken(unsignedField(lease, "generation"), row.revision) };
+        fencingToken(unsignedField(lease, "generation"), row.revision),
+        hasAddress ? address->get<std::string>() : std::string() };
+}
+
+static void recordRevocation(Json& lease, const PrimaryRevocation& revocation)
+{
+    lease["revoked"] = revocation.endpoint.str();
+    lease["revoked_address"] = revocation.address;
 }
 
 std::vector<TableTransaction> PromotionCoordinator::recordAgain(
@@ -63,7 +73,7 @@
         Json lease = row == rows.end() ? Json::object() : Json::parse(row->value, nullptr, false);
         if (!lease.is_object())
             lease = Json::object();
-        lease["revoked"] = revocation.endpoint.str();
+        recordRevocation(lease, revocation);
         lease["generation"] = generation;
         TableTransaction transaction;
         transaction.generation = generation;
@@ -134,23 +144,39 @@
     return delay * rank;
 }
 
-// Returns the endpoint that most recently registered as primary. An old primary may still be registered as primary
-// because it has not noticed its replacement, and it may register again after its entry has expired.
-template <typename Members>
-static EndpointId newestPrimary(
-    const Members& before, const Members& after, const EndpointId& current, const EndpointId& revoked)
+bool PromotionCoordinator::Group::isRevoked(const EndpointId& id) const
+{
+    return this->revocation.applies(id, this->addressOf(id));
+}
+
+std::string PromotionCoordinator::Group::addressOf(const EndpointId& id) const
 {
-    EndpointId primary;
-    for (const auto& [id, member] : after) {
+    const auto member = this->members.find(id);
+    return member == this->members.end() ? std::string() : member->second.address;
+}
+
+void PromotionCoordinator::Group::setLastPrimary(const EndpointId& id)
+{
+    this->lastPrimary = id;
+    this->lastPrimaryAddress = this->addressOf(id);
+}
+
+// An old primary may still be registered as primary because it has not noticed its replacement, and it may register
+// again after its entry has expired.
+EndpointId PromotionCoordinator::Group::newestPrimary(const std::map<EndpointId, Member>& before) const
+{
+    EndpointId newest;
+    for (const auto& [id, member] : this->members) {
         if (!member.isPrimary)
             continue;
         const auto known = before.find(id);
-        if (id != revoked && (known == before.end() || !known->second.isPrimary))
+        const bool revoked = this->isRevoked(id);
+        if (!revoked && (known == before.end() || !known->second.isPrimary))
             return id;
-        if (primary.empty() || primary == revoked || (id == current && id != revoked))
-            primary = id;
+        if (newest.empty() || this->isRevoked(newest) || (id == this->primary && !revoked))
+            newest = id;
     }
-    return primary;
+    return newest;
 }
 
 std::optional<EndpointId> PromotionCoordinator::primaryOf(const GroupId& name) const
@@ -165,7 +191,8 @@
 {
     std::map<GroupId, std::map<EndpointId, Member>> present;
     for (const RegisteredEndpoint& endpoint : registry.endpoints)
-        present[endpoint.group][endpoint.id] = { endpoint.role == EndpointRole::Primary, endpoint.draining };
+        present[endpoint.group][endpoint.id]
+            = { endpoint.role == EndpointRole::Primary, endpoint.draining, endpoint.address };
     Effects effects;
     for (auto& [name, members] : present) {
         Group& group = this->groups[name];
@@ -174,19 +201,19 @@
         group.synchronousReplicas = synchronous == registry.synchronousReplicas.end() ? 0 : synchronous->second;
         if (group.members == members)
             continue;
-        const EndpointId primary = newestPrimary(group.members, members, group.primary, group.revokedPrimary);
-        group.members = std::move(members);
+        const auto before = std::exchange(group.members, std::move(members));
+        const EndpointId primary = group.newestPrimary(before);
         if (primary != group.primary) {
             if (group.phase == Phase::AwaitingNewPrimary && primary == group.promotedEndpoint)
                 this->lastPromotionTime = now - group.orderedAt;
             effects.emplace_back(LogPromotionStep { name, "primary_changed", primary.str() });
             group.primary = primary;
             if (!primary.empty())
-                group.lastPrimary = primary;
+                group.setLastPrimary(primary);
             group.primaryUnreachable = false;
             // The registry shows no primary between a step-down and the promotion, or shows the old one again; that
             // must not end the attempt.
-            if (!primary.empty() && primary != group.revokedPrimary) {
+            if (!primary.empty() && !group.isRevoked(primary)) {
                 group.hasUnconfirmedOrder = false;
                 group.phase = Phase::Idle;
                 ++group.attempt;
@@ -207,7 +234,7 @@
     if (group.primary.empty())
         return true;
     const auto primary = group.members.find(group.primary);
-    return group.primaryUnreachable || group.primary == group.revokedPrimary
+    return group.primaryUnreachable || group.isRevoked(group.primary)
         || (primary != group.members.end() && primary->second.isDraining);
 }
 
@@ -333,7 +360,7 @@
     Json lease { { "holder", this->self.str() }, { "run", this->runId },
         { "until", tableNow + static_cast<uint64_t>(lifetime.count()) }, { "generation", group->leaseGeneration } };
     if (this->requiresRevocation())
-        lease["revoked"] = this->endpointToRevoke(*group).str();
+        recordRevocation(lease, this->revocationOf(*group));
     transaction.writes.push_back({ leaseKey(group->name), lease.dump() });
     return { WriteLease { group->name, group->attempt, std::move(transaction) } };
 }
@@ -360,8 +387,7 @@
 // so, because an order of an earlier attempt may still be carried out.
 EndpointId PromotionCoordinator::endpointToRevoke(const Group& group) const
 {
-    const bool isRevoked = !group.primary.empty() && group.primary == group.revokedPrimary;
-    if (group.oldPrimaryIsLeaving && !isRevoked)
+    if (group.oldPrimaryIsLeaving && !group.isRevoked(group.primary))
         return {};
     if (!group.primary.empty())
         return group.primary;
@@ -369,6 +395,13 @@
     return last != group.members.end() && !last->second.isPrimary ? EndpointId() : group.lastPrimary;
 }
 
+PrimaryRevocation PromotionCoordinator::revocationOf(const Group& group) const
+{
+    const EndpointId revoked = this->endpointToRevoke(group);
+    return { group.name, revoked, group.token,
+        revoked == group.lastPrimary ? group.lastPrimaryAddress : std::string() };
+}
+
 // The list is read after the revocation has been stored with the lease. A VM that is not listed yet reads the stored
 // revocations before it uses any primary.
 std::vector<PromotionEffect> PromotionCoordinator::handleFleetRead(const FleetReadAnswered& event, Instant now)
@@ -378,11 +411,11 @@
         return {};
     if (!event.members)
         return this->retryLater(*group, now, "reading the list of VMs failed");
-    const EndpointId revoked = this->endpointToRevoke(*group);
+    const PrimaryRevocation revocation = this->revocationOf(*group);
     group->phase = Phase::RevokingPrimary;
-    Effects effects { LogPromotionStep { group->name, "revocation_started", revoked.str() },
-        RevokePrimary { group->attempt, { group->name, revoked, group->token }, *event.members } };
-    if (!revoked.empty())
+    Effects effects { LogPromotionStep { group->name, "revocation_started", revocation.endpoint.str() },
+        RevokePrimary { group->attempt, revocation, *event.members } };
+    if (!revocation.endpoint.empty())
         return effects;
     // Nothing has to be waited for; the message only replaces earlier revocations of the group.
     group->phase = Phase::QueryingStatuses;
@@ -410,14 +443,14 @@
 {
     Group& group = this->groups[event.revocation.group];
     group.name = event.revocation.group;
-    group.revokedPrimary = event.revocation.endpoint;
-    if (group.revokedPrimary.empty() || group.primary != group.revokedPrimary)
+    group.revocation = event.revocation;
+    if (!group.isRevoked(group.primary))
         return {};
-    const EndpointId other = newestPrimary(group.members, group.members, group.primary, group.revokedPrimary);
+    const EndpointId other = group.newestPrimary(group.members);
     if (other == group.primary)
         return this->waitForOtherVm(group, now);
     group.primary = other;
-    group.lastPrimary = other;
+    group.setLastPrimary(other);
     group.primaryUnreachable = false;
     return { LogPromotionStep { group.name, "primary_changed", other.str() } };
 }
@@ -429,7 +462,8 @@
         // With synchronous replication, a draining replica may be the only one that holds an acknowledged commit.
         const bool leaving = member.isDraining && id != group.oldPrimary && !group.synchronousReplicas;
         const bool gone
-            = id == group.oldPrimary && !(group.oldPrimaryIsLeaving && group.phase == Phase::QueryingStatuses);
+            = (id == group.oldPrimary && !(group.oldPrimaryIsLeaving && group.phase == Phase::QueryingStatuses))
+            || (id != group.oldPrimary && group.isRevoked(id));
         if (!leaving && !gone)
             endpoints.push_back(id);
     }
--- a/src/Promotion/PromotionCoordinator.h
+++ b/src/Promotion/PromotionCoordinator.h
@@ -87,6 +87,7 @@
     struct Member {
         bool isPrimary = false;
         bool isDraining = false;
+        std::string address;
 
         friend bool operator==(const Member&, const Member&) = default;
     };
@@ -96,7 +97,8 @@
         std::map<EndpointId, Member> members;
         EndpointId primary; ///< empty if the registry lists no primary
         EndpointId lastPrimary; ///< last known primary, which may be running although the registry does not list it
-        EndpointId revokedPrimary; ///< must not be used as the primary any more; empty if there is none
+        std::string lastPrimaryAddress;
+        PrimaryRevocation revocation; ///< newest known one; its endpoint is empty if none is revoked
         uint32_t synchronousReplicas = 0;
         bool primaryUnreachable = false; ///< this VM cannot reach the primary
         Phase phase = Phase::Idle;
@@ -111,6 +113,18 @@
         Instant orderedAt {};
         Instant leaseExpiry {}; ///< this VM must not order a promotion later
         bool hasUnconfirmedOrder = false; ///< an order for `promotedEndpoint` may still be executed
+
+        /// Returns true if the endpoint must not be used as the primary any more.
+        bool isRevoked(const EndpointId&) const;
+
+        /// Returns the address of the endpoint; empty if it is not registered.
+        std::string addressOf(const EndpointId&) const;
+
+        void setLastPrimary(const EndpointId&);
+
+        /// Returns the endpoint that most recently registered as primary. `before` holds the members before the last
+        /// change of the registry.
+        EndpointId newestPrimary(const std::map<EndpointId, Member>& before) const;
     };
 
     Effects handleRegistryUpdate(const RegistryUpdated&, Instant now);
@@ -131,6 +145,7 @@
     bool needsPromotion(const Group&) const;
     bool requiresRevocation() const { return this->settings.primaryLease > Duration {}; }
     EndpointId endpointToRevoke(const Group&) const;
+    PrimaryRevocation revocationOf(const Group&) const;
     std::optional<EndpointId> chooseReplica(const Group&, const std::map<EndpointId, EndpointStatus>&) const;
     Effects waitForOtherVm(Group&, Instant now);
     Effects scheduleIfNeeded(Group&, Instant now);
--- a/src/Statements/CallerOperation.cpp
+++ b/src/Statements/CallerOperation.cpp
@@ -146,14 +146,14 @@
     // that may write and every statement in it. It also refuses to report its log position then.
     running.usesProxyTransaction = !running.writes && !running.startsTransaction;
     auto primary = group.primary();
-    if (!primary || !primary->isReachable() || !this->mayUsePrimary(running.route, primary->endpoint().id))
+    if (!primary || !primary->isReachable() || !this->mayUsePrimary(primary->endpoint()))
         return nullptr;
     return primary;
 }
 
-bool CallerSession::mayUsePrimary(const SessionRoute& route, const EndpointId& endpoint) const
+bool CallerSession::mayUsePrimary(const RegisteredEndpoint& endpoint) const
 {
-    return this->service.primaryLease().mayUse(route.group, endpoint);
+    return this->service.primaryLease().mayUse(endpoint);
 }
 
 void CallerSession::waitForPrimary(GroupTraffic& group)
@@ -191,7 +191,7 @@
     const RegisteredEndpoint& target = running.pool->endpoint();
     if (!target.acceptsWork(this->service.timers().now()))
         return "the endpoint is leaving";
-    if (!running.statement.requiredPosition && !this->mayUsePrimary(running.route, target.id))
+    if (!running.statement.requiredPosition && !this->mayUsePrimary(target))
         return "the endpoint may not be used as the primary any more";
     return {};
 }
@@ -321,8 +321,7 @@
     const EndpointAnswer reply = std::move(result.answers.back());
     if (reply.code == AnswerCode::UnknownPrepared)
         connection->forgetPrepared();
-    if (reply.code == AnswerCode::Done && running.writes
-        && !this->mayUsePrimary(running.route, running.pool->endpoint().id)) {
+    if (reply.code == AnswerCode::Done && running.writes && !this->mayUsePrimary(running.pool->endpoint())) {
         // Another endpoint may have been promoted before the commit.
         if (connection->pool())
             connection->pool()->release(connection);
--- a/src/Statements/CallerSession.cpp
+++ b/src/Statements/CallerSession.cpp
@@ -196,7 +196,7 @@
             failed.endpoint = this->operation->pool->endpoint().id;
     } else if (this->transaction) {
         failed.organisation = this->transaction->organisation;
-        failed.endpoint = this->transaction->endpoint;
+        failed.endpoint = this->transaction->endpoint.id;
     }
     this->service.log().statementFailed(failed);
 }
--- a/src/Statements/CallerSession.h
+++ b/src/Statements/CallerSession.h
@@ -74,7 +74,7 @@
         OrganisationId organisation;
         Instant startTime;
         std::shared_ptr<PooledConnection> connection; ///< null until the first statement reaches an endpoint
-        EndpointId endpoint;
+        RegisteredEndpoint endpoint; ///< endpoint of `connection`
         std::optional<Timers::Handle> idleTimer;
     };
 
@@ -97,7 +97,7 @@
     // Attempts to run the current operation.
     void startAttempt();
     std::shared_ptr<EndpointPool> chooseEndpoint(GroupTraffic&);
-    bool mayUsePrimary(const SessionRoute&, const EndpointId&) const;
+    bool mayUsePrimary(const RegisteredEndpoint&) const;
     std::string reasonNotToSend() const;
     bool retryIfEndpointLeft(const std::shared_ptr<PooledConnection>&);
     void waitForPrimary(GroupTraffic&);
--- a/src/Statements/CallerTransaction.cpp
+++ b/src/Statements/CallerTransaction.cpp
@@ -77,7 +77,7 @@
             if (self->retryIfEndpointLeft(connection))
                 return;
             self->transaction->connection = connection;
-            self->transaction->endpoint = running.pool->endpoint().id;
+            self->transaction->endpoint = running.pool->endpoint();
             self->dropOperation();
             Statement first = self->currentStatement;
             if (first.kind == StatementKind::Commit)
@@ -153,7 +153,7 @@
         this->refuse(AnswerCode::Aborted, "the transaction has failed");
         return;
     }
-    if (open.wrote && !this->mayUsePrimary(open.route, open.endpoint)) {
+    if (open.wrote && !this->mayUsePrimary(open.endpoint)) {
         this->endTransaction(true);
         this->refuse(AnswerCode::Aborted, "the lease on the primary expired before the commit");
         return;
@@ -173,7 +173,7 @@
 {
     const bool wrote = this->transaction->wrote;
     const SessionRoute route = this->transaction->route;
-    const EndpointId endpoint = this->transaction->endpoint;
+    const RegisteredEndpoint endpoint = this->transaction->endpoint;
     if (!result.hasAnswers()) {
         this->endTransaction(false);
         const std::string reason = result.timedOut ? "no answer to the commit in time" : "the connection broke";
@@ -184,7 +184,7 @@
         return;
     }
     EndpointAnswer& reply = result.answers.back();
-    if (reply.code == AnswerCode::Done && wrote && !this->mayUsePrimary(route, endpoint)) {
+    if (reply.code == AnswerCode::Done && wrote && !this->mayUsePrimary(endpoint)) {
         // Another endpoint may have been promoted before the commit.
         this->endTransaction(reply.state != TransactionState::Idle);
         this->refuse(AnswerCode::InDoubt, "the lease on the primary expired before the answer to the commit");
--- a/src/Statements/GroupTraffic.cpp
+++ b/src/Statements/GroupTraffic.cpp
@@ -216,6 +216,15 @@
         callback();
 }
 
+void GroupTraffic::interruptIf(const std::function<bool(const RegisteredEndpoint&)>& selects)
+{
+    const auto all = this->members;
+    for (const auto& [id, member] : all) {
+        if (selects(member.pool->endpoint()))
+            member.pool->interrupt("the endpoint is being replaced as the primary");
+    }
+}
+
 void GroupTraffic::retireAll()
 {
     for (const auto& [id, member] : std::exchange(this->members, {}))
--- a/src/Statements/GroupTraffic.h
+++ b/src/Statements/GroupTraffic.h
@@ -57,6 +57,9 @@
     /// Earliest time at which a new primary is expected. Set when a promotion has been ordered.
     std::optional<Instant> primaryExpectedAt;
 
+    /// Interrupts the pools of the endpoints that the predicate selects, because they are being replaced as primary.
+    void interruptIf(const std::function<bool(const RegisteredEndpoint&)>&);
+
     void retireAll();
 
     /// Tells whether this VM can reach the endpoint. If the endpoint has not responded recently, the result is Unknown
--- a/src/Statements/StatementService.cpp
+++ b/src/Statements/StatementService.cpp
@@ -122,7 +122,7 @@
 bool StatementService::canUsePrimary(const GroupTraffic& group) const
 {
     const auto primary = group.primary();
-    return primary && primary->isReachable() && this->lease.mayUse(group.id(), primary->endpoint().id);
+    return primary && primary->isReachable() && this->lease.mayUse(primary->endpoint());
 }
 
 void StatementService::primaryLeaseChanged()
@@ -139,10 +139,11 @@
 void StatementService::primaryRevoked(const PrimaryRevocation& revocation)
 {
     this->listener.primaryRevoked(revocation);
-    GroupTraffic* group = this->findGroup(revocation.group);
-    const auto pool = group ? group->findPool(revocation.endpoint) : nullptr;
-    if (pool)
-        pool->interrupt("the endpoint is being replaced as the primary");
+    if (GroupTraffic* group = this->findGroup(revocation.group)) {
+        group->interruptIf([&revocation](const RegisteredEndpoint& endpoint) {
+            return revocation.applies(endpoint.id, endpoint.address);
+        });
+    }
     this->checkIsolation();
 }
 
--- a/tests/Peers/PeerMessagesTest.cpp
+++ b/tests/Peers/PeerMessagesTest.cpp
@@ -18,7 +18,7 @@
         LeaseReply { 9, true, 250, { { GroupId("stock"), EndpointId("a"), 41 }, { GroupId("club"), {}, 42 } } },
         LeaseReply { 10, false, 0, {} }, ConfirmationRequest { 11 },
         ConfirmationReply { 11, 12, { { GroupId("stock"), EndpointId("a"), 41 } } },
-        RevocationRequest { 12, { GroupId("stock"), EndpointId("a"), 41 } }, RevocationReply { 12, 12 },
+        RevocationRequest { 12, { GroupId("stock"), EndpointId("a"), 41, "10.0.0.11:1" } }, RevocationReply { 12, 12 },
         MemberAnnouncement { { VmId("vm-1"), DataCentre("dc"), "10.0.0.1:7560", 170 } } };
     for (const PeerMessage& message : messages) {
         const auto decoded = decodePeerMessage(encodePeerMessage(message));
@@ -27,6 +27,26 @@
     }
 }
 
+// Guards against a revocation that VMs of an earlier version send and later ones do not understand.
+BOOST_AUTO_TEST_CASE(Decode_RevocationWithoutAddress_HasNone)
+{
+    const std::string bytes = "\x83\x0a\x0c\x83\x65stock\x61"
+                              "a\x18\x29";
+    const auto decoded = decodePeerMessage(bytes);
+    BOOST_REQUIRE(decoded);
+    BOOST_TEST((*decoded == PeerMessage { RevocationRequest { 12, { GroupId("stock"), EndpointId("a"), 41 } } }));
+}
+
+// Guards against an answer that is too large for a datagram and is lost each time.
+BOOST_AUTO_TEST_CASE(Encode_ManyRevocations_FitsIntoDatagram)
+{
+    LeaseReply reply { 1, true, 30, {} };
+    for (uint64_t number = 0; number < 24; ++number)
+        reply.revocations.push_back({ GroupId("gr" + std::to_string(10'000 + number)), EndpointId("i-0123456789"),
+            (1ULL << 33) + number, "10.128.100.100:65535" });
+    BOOST_TEST(encodePeerMessage(reply).size() < 1400U);
+}
+
 // Datagrams can come from any sender and be truncated at any length. They must neither crash the process nor be decoded
 // as another message.
 BOOST_AUTO_TEST_CASE(Decode_CutOrGarbage_ReturnsNothing)
--- a/tests/PrimaryLease/LeaseFleet.cpp
+++ b/tests/PrimaryLease/LeaseFleet.cpp
@@ -101,9 +101,13 @@
     }
 }
 
-bool LeaseFleet::mayUse(size_t vm, const EndpointId& endpoint) const
+bool LeaseFleet::mayUse(size_t vm, const EndpointId& id, const std::string& address) const
 {
-    return this->vms[vm]->lease && this->vms[vm]->lease->mayUse(group, endpoint);
+    RegisteredEndpoint endpoint;
+    endpoint.id = id;
+    endpoint.group = group;
+    endpoint.address = address;
+    return this->vms[vm]->lease && this->vms[vm]->lease->mayUse(endpoint);
 }
 
 size_t LeaseFleet::countUsing(const EndpointId& endpoint) const
--- a/tests/PrimaryLease/LeaseFleet.h
+++ b/tests/PrimaryLease/LeaseFleet.h
@@ -25,7 +25,7 @@
     size_t size() const { return this->vms.size(); }
     size_t dataCentreOf(size_t vm) const { return vm / this->vmsPerDataCentre; }
 
-    bool mayUse(size_t vm, const EndpointId& endpoint) const;
+    bool mayUse(size_t vm, const EndpointId&, const std::string& address = "") const;
     size_t countUsing(const EndpointId&) const;
 
     /// Messages between the data centre and the others are lost.
--- a/tests/PrimaryLease/PrimaryLeaseTest.cpp
+++ b/tests/PrimaryLease/PrimaryLeaseTest.cpp
@@ -166,6 +166,23 @@
     BOOST_TEST(fenced.countUsing(oldPrimary) == fenced.size());
 }
 
+// Guards against a replaced primary that goes on under another ID at its address.
+BOOST_AUTO_TEST_CASE(Revocation_OtherEndpointAtRevokedAddress_IsNotUsed)
+{
+    const std::string address = "10.0.0.11:1";
+    const EndpointId heir("h");
+    BOOST_TEST(this->fleet.mayUse(3, heir, address));
+    this->fleet.revoke(2, { LeaseFleet::group, oldPrimary, ++this->lastNumber, address }, [](bool) {});
+    this->fleet.advance(5s);
+    for (size_t vm = 0; vm < this->fleet.size(); ++vm) {
+        BOOST_TEST(!this->fleet.mayUse(vm, heir, address));
+        BOOST_TEST(this->fleet.mayUse(vm, heir, "10.0.0.12:1"));
+    }
+    this->fleet.revoke(2, { LeaseFleet::group, EndpointId(), ++this->lastNumber }, [](bool) {});
+    this->fleet.advance(5s);
+    BOOST_TEST(this->fleet.mayUse(3, heir, address));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 // Plays random pauses, cuts, losses, delays, restarts and revocations. From the completion of a revocation on, no VM
--- a/tests/Promotion/PromotionCoordinatorTest.cpp
+++ b/tests/Promotion/PromotionCoordinatorTest.cpp
@@ -384,6 +384,36 @@
     BOOST_TEST(this->find<OrderPromotion>()->endpoint == c);
 }
 
+// Guards against a replaced primary that goes on under another ID: a new endpoint takes over its address, log and role
+// while the promotion is under way, and does not know of it.
+BOOST_AUTO_TEST_CASE(Unfenced_EndpointTakesOverAtRevokedAddress_PromotionGoesOn)
+{
+    const EndpointId heir("h");
+    const auto at = [](RegisteredEndpoint made, const char* address) {
+        made.address = address;
+        return made;
+    };
+    const RegisteredEndpoint replica = at(endpoint(b, EndpointRole::Replica), "10.0.0.12:1");
+    this->coordinator = makeUnfencedCoordinator();
+    this->handle(VmsChanged { { VmId("vm-1") } });
+    this->handle(RegistryUpdated { { at(endpoint(a, EndpointRole::Primary), "10.0.0.11:1"), replica }, {} });
+    const uint64_t attempt = this->advanceToStatusQuery();
+    this->handle(FleetReadAnswered { stock, attempt, { { { VmId("vm-2"), DataCentre("dc-1"), "10.0.0.2:7560" } } } });
+    const PrimaryRevocation revocation = this->find<RevokePrimary>()->revocation;
+    BOOST_TEST(revocation.address == "10.0.0.11:1");
+    this->handle(PrimaryRevocationLearnt { revocation });
+    this->handle(RegistryUpdated { { at(endpoint(heir, EndpointRole::Primary), "10.0.0.11:1"), replica }, {} });
+    this->handle(PrimaryRevocationFinished { stock, attempt, true });
+    BOOST_REQUIRE(this->find<QueryEndpointStatuses>());
+    BOOST_TEST((this->find<QueryEndpointStatuses>()->endpoints == std::vector<EndpointId> { b }));
+    this->handle(EndpointStatusesReceived { stock, attempt, { { b, status(52) } } });
+    BOOST_REQUIRE(this->find<OrderPromotion>());
+    this->handle(RegistryUpdated { { at(endpoint(heir, EndpointRole::Primary), "10.0.0.11:1"),
+                                       at(endpoint(b, EndpointRole::Primary), "10.0.0.12:1") },
+        {} });
+    BOOST_TEST((this->coordinator.primaryOf(stock) == b));
+}
+
 // The promotion lease records the revocation, so that VMs that start later know of it.
 BOOST_AUTO_TEST_CASE(Unfenced_LeaseWritten_RecordsRevocation)
 {
--- a/tests/Statements/PrimaryLeaseSessionTest.cpp
+++ b/tests/Statements/PrimaryLeaseSessionTest.cpp
@@ -49,7 +49,7 @@
         const auto caller = probe.openSlow();
         probe.stopRenewals();
         Duration time {};
-        for (; probe.service->primaryLease().mayUse(GroupId("stock"), EndpointId("a")); time += 1ms)
+        for (; probe.service->primaryLease().mayUse(probe.endpoints.front()); time += 1ms)
             probe.timers.advance(1ms);
         return time;
     }
