Step a leaving primary down also when it does not answer a status query

A leaving primary whose status query was not answered, because it was busy for example, was promoted away without being told to step down. Where endpoints are not fenced it went on, and writes acknowledged by it were lost; elsewhere the last commits before the promotion were.

It is now told to step down, in a term above those of the endpoints that answered. Without an answer to that, the promotion is tried again later, and the leaving primary serves on meanwhile.

Primary_LeavingDoesNotAnswerStatusQuery_IsSteppedDownBeforeOrder failed before (an order was given) and passes.

--- a/src/Promotion/PromotionCoordinator.cpp
+++ b/src/Promotion/PromotionCoordinator.cpp
@@ -489,6 +489,14 @@
     return best;
 }
 
+static uint64_t newestTerm(const std::map<EndpointId, EndpointStatus>& statuses)
+{
+    uint64_t newest = 0;
+    for (const auto& [id, status] : statuses)
+        newest = std::max(newest, status.term);
+    return newest;
+}
+
 // An order without an answer may still be executed after a later one, and an unfenced platform does not refuse it then.
 // Ordering the same endpoint again makes the late execution harmless.
 std::optional<EndpointId> PromotionCoordinator::chooseReplica(
@@ -517,10 +525,11 @@
     const auto best = this->chooseReplica(group, replicas);
     if (!best)
         return this->retryLater(group, now, "no replica answered the status query");
-    if (group.phase == Phase::QueryingStatuses && group.oldPrimaryIsLeaving && primary
-        && primary->role == EndpointRole::Primary) {
+    // A primary that does not answer may be busy, and would go on.
+    const bool mayGoOn = primary ? primary->role == EndpointRole::Primary : !group.isRevoked(group.oldPrimary);
+    if (group.phase == Phase::QueryingStatuses && group.oldPrimaryIsLeaving && mayGoOn) {
         group.phase = Phase::SteppingDown;
-        return { StepDownPrimary { group.name, group.attempt, group.oldPrimary, primary->term + 1 } };
+        return { StepDownPrimary { group.name, group.attempt, group.oldPrimary, newestTerm(event.statuses) + 1 } };
     }
     if (group.phase == Phase::CatchingUp && group.finalPosition && replicas.at(*best).received < *group.finalPosition
         && now < group.catchUpDeadline)
--- a/tests/Promotion/PromotionCoordinatorTest.cpp
+++ b/tests/Promotion/PromotionCoordinatorTest.cpp
@@ -342,6 +342,25 @@
     BOOST_TEST(this->find<OrderPromotion>()->endpoint == b);
 }
 
+// Guards against a leaving primary that is too busy to answer the status query, goes on after the promotion and loses
+// the writes that it acknowledges.
+BOOST_AUTO_TEST_CASE(Primary_LeavingDoesNotAnswerStatusQuery_IsSteppedDownBeforeOrder)
+{
+    this->registry(EndpointRole::Primary, EndpointRole::Replica, true);
+    this->fireTimer();
+    const uint64_t attempt = this->find<ReadLease>()->attempt;
+    this->handle(LeaseReadAnswered { stock, attempt, this->reply(TableStatus::Done, 0) });
+    this->handle(LeaseWriteAnswered { stock, attempt, this->reply(TableStatus::Done, 5) });
+    this->handle(EndpointStatusesReceived { stock, attempt, { { b, status(58) }, { c, status(57) } } });
+    BOOST_TEST(!this->find<OrderPromotion>());
+    BOOST_REQUIRE(this->find<StepDownPrimary>());
+    BOOST_TEST(this->find<StepDownPrimary>()->endpoint == a);
+    BOOST_TEST(this->find<StepDownPrimary>()->term == 2U);
+    this->handle(StepDownAnswered { stock, attempt, std::nullopt });
+    BOOST_TEST(!this->find<OrderPromotion>());
+    BOOST_TEST(this->find<SetPromotionTimer>());
+}
+
 // Between step-down and promotion the registry shows no primary; that must not start a second promotion.
 BOOST_AUTO_TEST_CASE(Registry_PrimaryGoneWhileOrdering_StartsNoSecondOrder)
 {
