Leave an unknown primary to other VMs first where promotions are not fenced

A VM that had just started found no primary of a group in the registry and ordered a promotion at once, with nobody to revoke. The entry of the primary had lapsed, because it could not reach the store; the other VMs knew it and used it on after the promotion, and a write that it acknowledged was lost.

Such a VM now waits 4.5 s and its rank once, in which those that know the primary replace it. Not covered: a primary whose entry has lapsed, while all VMs that reach the store have started again and others that do not reach it still use the primary.

Unfenced_VmStartsAndRegistryListsNoPrimary_LeavesItToOthersFirst is new.

--- a/src/Promotion/PromotionCoordinator.cpp
+++ b/src/Promotion/PromotionCoordinator.cpp
@@ -286,6 +286,11 @@
         group.phase = Phase::Idle;
         return {};
     }
+    // A VM that has started does not know whom to revoke if the registry lists no primary. The others may still use the
+    // one that they know, and replace it themselves.
+    if (this->requiresRevocation() && group.primary.empty() && group.lastPrimary.empty()
+        && !std::exchange(group.hasWaitedForPrimary, true))
+        return this->waitForOtherVm(group, now);
     group.oldPrimary = group.primary;
     group.oldPrimaryIsLeaving = !group.primaryUnreachable && !group.primary.empty();
     group.finalPosition.reset();
--- a/src/Promotion/PromotionCoordinator.h
+++ b/src/Promotion/PromotionCoordinator.h
@@ -98,6 +98,7 @@
         EndpointId primary; ///< empty if the registry lists no primary
         EndpointId lastPrimary; ///< last known primary, which may be running although the registry does not list it
         std::string lastPrimaryAddress;
+        bool hasWaitedForPrimary = false; ///< other VMs had time to replace a primary that this VM does not know
         PrimaryRevocation revocation; ///< newest known one; its endpoint is empty if none is revoked
         uint32_t synchronousReplicas = 0;
         bool primaryUnreachable = false; ///< this VM cannot reach the primary
--- a/tests/Promotion/PromotionCoordinatorTest.cpp
+++ b/tests/Promotion/PromotionCoordinatorTest.cpp
@@ -433,6 +433,30 @@
     BOOST_TEST((this->coordinator.primaryOf(stock) == b));
 }
 
+// Guards against a VM that has just started and promotes at once while the others use a primary whose entry has lapsed.
+BOOST_AUTO_TEST_CASE(Unfenced_VmStartsAndRegistryListsNoPrimary_LeavesItToOthersFirst)
+{
+    this->coordinator = makeUnfencedCoordinator();
+    this->handle(VmsChanged { { VmId("vm-1") } });
+    this->registry(EndpointRole::Replica, EndpointRole::Replica);
+    this->fireTimer();
+    BOOST_TEST(!this->find<ReadLease>());
+    BOOST_REQUIRE(this->find<SetPromotionTimer>());
+    BOOST_TEST((this->timer.when - this->now >= 4500ms));
+    this->registry(EndpointRole::Replica, EndpointRole::Replica);
+    this->fireTimer();
+    BOOST_TEST(this->find<ReadLease>());
+}
+
+BOOST_AUTO_TEST_CASE(Fenced_VmStartsAndRegistryListsNoPrimary_PromotesAtOnce)
+{
+    this->coordinator = { VmId("vm-1"), "run-1", {} };
+    this->handle(VmsChanged { { VmId("vm-1") } });
+    this->registry(EndpointRole::Replica, EndpointRole::Replica);
+    this->fireTimer();
+    BOOST_TEST(this->find<ReadLease>());
+}
+
 // The promotion lease records the revocation, so that VMs that start later know of it.
 BOOST_AUTO_TEST_CASE(Unfenced_LeaseWritten_RecordsRevocation)
 {
