Keep the lease of a promotion whose order was not answered

Two VMs took turns in promoting a group within the lease time: orders without an answer were carried out 2 to 9 s late. Each VM had waited for the lease of the one before, counted from its order, but the orders took effect in the order A, B, A within 2.2 s.

A VM whose order was not answered now renews its lease 0.5 s before its end and orders again itself, so that the others do not order in between. After four such orders it lets the lease expire, in case none arrives. Nothing changes where orders are answered.

--- a/src/Promotion/PromotionCoordinator.cpp
+++ b/src/Promotion/PromotionCoordinator.cpp
@@ -215,6 +215,7 @@
             // must not end the attempt.
             if (!primary.empty() && !group.isRevoked(primary)) {
                 group.hasUnconfirmedOrder = false;
+                group.unansweredOrders = 0;
                 group.phase = Phase::Idle;
                 ++group.attempt;
             }
@@ -274,6 +275,10 @@
     case Phase::CatchingUp:
         return this->queryStatuses(group);
     case Phase::AwaitingNewPrimary:
+        if (group.keepsLease && now < group.leaseExpiry) {
+            ++group.attempt;
+            return this->startAttempt(group, now);
+        }
         return this->retryLater(group, now, "the new primary has not appeared in the registry");
     default:
         return {};
@@ -578,12 +583,16 @@
     if (!group)
         return {};
     group->hasUnconfirmedOrder = event.status == PromotionOrderStatus::Unknown;
+    group->unansweredOrders = group->hasUnconfirmedOrder ? group->unansweredOrders + 1 : 0;
+    group->keepsLease = group->hasUnconfirmedOrder && group->unansweredOrders < this->settings.maxUnansweredOrders;
     if (event.status == PromotionOrderStatus::Refused || event.status == PromotionOrderStatus::NotCarriedOut)
         return this->retryLater(*group, now, "the promotion order was not accepted");
-    // An order without an answer may still be executed, so the next attempt waits until the new primary would have
-    // appeared in the registry.
+    // An order without an answer may be executed much later. Were the lease to expire meanwhile, several VMs would
+    // order in turn, and their orders would take effect in turn.
     group->phase = Phase::AwaitingNewPrimary;
-    Effects effects = this->setTimer(*group, now + this->settings.newPrimaryTimeout);
+    const Instant timeout = now + this->settings.newPrimaryTimeout;
+    Effects effects = this->setTimer(
+        *group, group->keepsLease ? std::min(timeout, group->leaseExpiry - this->settings.renewalMargin) : timeout);
     if (event.status == PromotionOrderStatus::Accepted)
         effects.emplace_back(AnnouncePromotion {
             group->name, group->promotedEndpoint, group->orderedAt + this->lastPromotionTime - now });
--- a/src/Promotion/PromotionCoordinator.h
+++ b/src/Promotion/PromotionCoordinator.h
@@ -30,6 +30,11 @@
     Duration assumedPromotionTime = std::chrono::milliseconds(1000);
     /// Time for the new primary to appear in the registry before the order is considered lost.
     Duration newPrimaryTimeout = std::chrono::milliseconds(3000);
+    /// Part of a lease before whose end a VM whose order was not answered renews the lease and orders again.
+    Duration renewalMargin = std::chrono::milliseconds(500);
+    /// Number of consecutive orders without an answer after which a VM lets its lease expire. Its orders may not
+    /// arrive.
+    uint32_t maxUnansweredOrders = 4;
     /// Delay before a new attempt after a failed step or a reachability poll without a majority.
     Duration retryDelay = std::chrono::milliseconds(300);
     /// Interval at which replicas are queried while they catch up with a primary that has stepped down.
@@ -114,6 +119,8 @@
         Instant orderedAt {};
         Instant leaseExpiry {}; ///< this VM must not order a promotion later
         bool hasUnconfirmedOrder = false; ///< an order for `promotedEndpoint` may still be executed
+        uint32_t unansweredOrders = 0; ///< consecutive orders of this VM without an answer
+        bool keepsLease = false; ///< this VM renews its lease and orders again
 
         /// Returns true if the endpoint must not be used as the primary any more.
         bool isRevoked(const EndpointId&) const;
