--- a/src/Peers/PeerMessages.cpp
+++ b/src/Peers/PeerMessages.cpp
@@ -29,8 +29,7 @@
 
 Json encodeRevocation(const PrimaryRevocation& revocation)
 {
-    return Json::array(
-        { revocation.group.str(), revocation.endpoint.str(), revocation.number, revocation.address });
+    return Json::array({ revocation.group.str(), revocation.endpoint.str(), revocation.number, revocation.address });
 }
 
 Json encodeRevocations(const std::vector<PrimaryRevocation>& revocations)
