Review cases 4 and 5: end the started processes when a script is stopped

A script ends itself after 118 s, and with it the processes that it started, also when it gets a signal; they start with the default handling of SIGPIPE.

--- a/review/4/main.cpp
+++ b/review/4/main.cpp
@@ -30,7 +30,7 @@
 
 int main(int, char** arguments)
 {
-    signal(SIGPIPE, SIG_IGN);
+    limitRun();
     Record record(arguments[1]);
     const bool trouble = hasTrouble();
 
--- a/review/5/main.cpp
+++ b/review/5/main.cpp
@@ -12,7 +12,7 @@
 
 int main(int, char** arguments)
 {
-    signal(SIGPIPE, SIG_IGN);
+    limitRun();
     Record record(arguments[1]);
     const bool trouble = hasTrouble();
 
--- a/review/standin/standin.h
+++ b/review/standin/standin.h
@@ -763,6 +763,28 @@
 
 // Programs and clients
 
+/// Processes that run now, for the handler below.
+inline std::atomic<pid_t> runningProcesses[32] {};
+
+/// Ends the started processes and the script if it is told to stop, or runs for longer than it may.
+inline void endEverything(int)
+{
+    for (const auto& process : runningProcesses) {
+        if (const pid_t id = process)
+            kill(id, SIGKILL);
+    }
+    _exit(2);
+}
+
+/// To be called first: a script runs for 120 s at most.
+inline void limitRun()
+{
+    for (const int number : { SIGALRM, SIGTERM, SIGINT, SIGHUP })
+        signal(number, endEverything);
+    signal(SIGPIPE, SIG_IGN);
+    alarm(118);
+}
+
 /// A machine of the system: a process of lavendervane-entryd with its settings file.
 class Machine {
 public:
@@ -823,11 +845,24 @@
         posix_spawn_file_actions_init(&actions);
         posix_spawn_file_actions_addopen(&actions, 1, this->logPath.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
         posix_spawn_file_actions_adddup2(&actions, 1, 2);
-        if (posix_spawn(&this->process, program, &actions, nullptr, arguments, variables.data())) {
+        posix_spawnattr_t attributes;
+        posix_spawnattr_init(&attributes);
+        sigset_t defaults;
+        sigemptyset(&defaults);
+        sigaddset(&defaults, SIGPIPE);
+        posix_spawnattr_setsigdefault(&attributes, &defaults);
+        posix_spawnattr_setflags(&attributes, POSIX_SPAWN_SETSIGDEF);
+        if (posix_spawn(&this->process, program, &actions, &attributes, arguments, variables.data())) {
             std::fprintf(stderr, "cannot start %s\n", program);
             std::exit(2);
         }
+        posix_spawnattr_destroy(&attributes);
         posix_spawn_file_actions_destroy(&actions);
+        for (auto& entry : runningProcesses) {
+            pid_t none = 0;
+            if (entry.compare_exchange_strong(none, this->process))
+                break;
+        }
     }
 
     ~Machine() { this->end(); }
@@ -839,7 +874,7 @@
             kill(this->process, SIGKILL);
             waitpid(this->process, nullptr, 0);
         }
-        this->process = 0;
+        this->forget();
     }
     Machine(const Machine&) = delete;
     Machine& operator=(const Machine&) = delete;
@@ -849,7 +884,7 @@
     bool hasEnded()
     {
         if (this->process > 0 && waitpid(this->process, nullptr, WNOHANG) == this->process)
-            this->process = 0;
+            this->forget();
         return this->process <= 0;
     }
 
@@ -865,6 +900,16 @@
     const uint16_t frontPort, readyPort;
 
 private:
+    void forget()
+    {
+        for (auto& entry : runningProcesses) {
+            pid_t own = this->process;
+            if (own > 0)
+                entry.compare_exchange_strong(own, 0);
+        }
+        this->process = 0;
+    }
+
     std::string settingsPath, logPath;
     pid_t process = 0;
 };
