Log feed requests that were not answered, with their age

A lost request and a control thread that is held up look the same in the log: dependency_lost names neither the request nor its age. feed_unanswered names the table, the revision up to which it is known and the time since the request was made. No logic is changed.

--- a/src/Fleet/DirectoryFeed.h
+++ b/src/Fleet/DirectoryFeed.h
@@ -13,12 +13,13 @@
 struct FeedStep {
     /// "table_read": all rows were read. "resumed": changes are requested again after failed calls. "history_lost": the
     /// store no longer keeps the changes after the known revision. "restored": the store was restored from an older
-    /// copy.
+    /// copy. "unanswered": a feed request got no answer that can be used.
     std::string name;
     std::string table;
     uint64_t after = 0; ///< revision after which changes are known to be missing
     uint64_t revision = 0; ///< newest revision of the store; 0 if it has not answered
     uint64_t generation = 0; ///< generation of the store's content; 0 if it is not reported
+    Duration waited {}; ///< for "unanswered": time since the request was made
 };
 
 /// Entry of an endpoint in the registry.
--- a/src/Fleet/FleetControl.cpp
+++ b/src/Fleet/FleetControl.cpp
@@ -21,6 +21,11 @@
 // Length of the random key with which this process computes digests of callers' keys.
 static constexpr size_t digestKeyBytes = 32;
 
+static std::string millisecondsText(Duration duration)
+{
+    return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
+}
+
 FleetControl::FleetControl(FleetControlSettings settings, Timers& timers, TableStore& table, PromotionOrders& orders,
     TrafficPort& traffic, StructuredLog& log, SessionMetrics& metrics)
     : settings(std::move(settings))
@@ -237,11 +242,6 @@
     this->publishDirectory();
 }
 
-static std::string millisecondsText(Duration duration)
-{
-    return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
-}
-
 void FleetControl::logDraining(const RegisteredEndpoint& endpoint)
 {
     const Instant now = this->timers.now();
@@ -300,7 +300,8 @@
         this->metrics.setStoreGeneration(step.generation);
     this->log.write("feed_" + step.name,
         { { "table", step.table }, { "after", std::to_string(step.after) },
-            { "revision", std::to_string(step.revision) }, { "generation", std::to_string(step.generation) } });
+            { "revision", std::to_string(step.revision) }, { "generation", std::to_string(step.generation) },
+            { "waited_ms", millisecondsText(step.waited) } });
 }
 
 void FleetControl::publishDirectory()
