Find out when the feed of a table has gone silent

Cause: a feed request waits at the store until its table changes. One that is lost looks like a table that does not change, and TCP keep-alive is answered. The VM gave it up after 32 s only. Evidence: feed_unanswered with waited_ms=32000 on all 20 VMs, for requests made while the store was silent.

Change: FeedMonitor. Each answer of the store confirms up to which time all changes of a table are known. The first VM by rank lets its requests wait for a third of the time within which changes must apply and passes the confirmations on; each VM tells four others. A VM that does not know the newest change that a confirmation names, or has no recent one, asks the store on a new connection. This works whichever message is lost: a confirmation names revisions, so an old state is never taken for confirmed, and a VM without one depends on no other VM.

--- a/src/Fleet/DirectoryFeed.h
+++ b/src/Fleet/DirectoryFeed.h
@@ -1,9 +1,11 @@
 #pragma once
 
 #include "Fleet/Directory.h"
+#include "Fleet/FeedMonitor.h"
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -54,6 +56,9 @@
     virtual void onSourceAvailabilityChanged(const std::string& reason) = 0;
 
     virtual void onFeedStep(const FeedStep&) = 0;
+
+    /// The store has answered a read of a table or a feed request for it. Called after the changes were reported.
+    virtual void onTableAnswered(const TableAnswered&) = 0;
 };
 
 /// Source of configuration and registry.
@@ -63,6 +68,14 @@
 
     /// Starts reading; continues until destruction.
     virtual void start(DirectoryListener&) = 0;
+
+    /// Asks for changes of a table at once, if a request is waiting for them. All changes up to `confirmedAt` are known
+    /// to this VM. Returns false if no request is waiting.
+    virtual bool recheck(const std::string& table, Instant confirmedAt) = 0;
+
+    /// Limits the time for which a feed request waits for changes; without a value, it waits as long as the store
+    /// allows.
+    virtual void limitWait(std::optional<Duration>) = 0;
 };
 
 } // namespace Lavendervane
--- a/src/Fleet/EntryDaemon.cpp
+++ b/src/Fleet/EntryDaemon.cpp
@@ -165,7 +165,7 @@
                 { "data_centre", this->settings.dataCentre.str() } });
         this->waitForSignal();
         this->control.start();
-        this->feed->start(this->control);
+        this->control.follow(*this->feed);
         std::thread traffic([this] {
             const auto work = asio::make_work_guard(this->trafficContext);
             this->trafficContext.run();
@@ -231,6 +231,12 @@
             this->trafficContext, [this, effect] { this->service.announceMember(effect.member, effect.addresses); });
     }
 
+    void confirmTables(const TablesConfirmed& message, const std::vector<std::string>& addresses) override
+    {
+        asio::post(
+            this->trafficContext, [this, message, addresses] { this->service.confirmTables(message, addresses); });
+    }
+
     void startPrimaryLease(std::vector<PrimaryRevocation> stored) override
     {
         asio::post(
@@ -279,6 +285,11 @@
         asio::post(this->controlContext, [this, member] { this->control.onMemberAnnounced(member); });
     }
 
+    void tablesConfirmed(const TablesConfirmed& message) override
+    {
+        asio::post(this->controlContext, [this, message] { this->control.onTablesConfirmed(message); });
+    }
+
     void primaryRevoked(const PrimaryRevocation& revocation) override
     {
         asio::post(this->controlContext, [this, revocation] { this->control.onPrimaryRevoked(revocation); });
@@ -314,6 +325,7 @@
         if (!settings.endpointsAreFenced)
             control.promotion.primaryLease = primaryLeaseDuration;
         control.drainLimit = std::max(settings.endpointDrainTime - drainMargin, settings.endpointDrainTime / 2);
+        control.feedMonitor = FeedMonitorSettings::makeFor(settings.changeApplyTime);
         control.seed = stableHash(settings.vm.str() + settings.runId);
         return control;
     }
--- a/src/Fleet/EntryDaemon.h
+++ b/src/Fleet/EntryDaemon.h
@@ -44,6 +44,8 @@
     uint32_t limitSlack = 0; ///< number of requests by which a window may exceed the limit in addition
     /// Time for which a draining endpoint may still receive statements.
     std::chrono::milliseconds endpointDrainTime { 7000 };
+    /// Time within which changes of the configuration and the registry must be in force.
+    std::chrono::milliseconds changeApplyTime { 3000 };
     /// True if endpoints give up the lead by themselves when another one is promoted.
     bool endpointsAreFenced = true;
     VmId vm;
--- a/src/Fleet/FeedClock.cpp
+++ b/src/Fleet/FeedClock.cpp
@@ -28,6 +28,12 @@
     return this->hasWaitedAtStore(written, answered) ? answered : earlier;
 }
 
+void FeedClock::handleConfirmation(Instant confirmed)
+{
+    if (this->knownUntil)
+        this->knownUntil = std::max(*this->knownUntil, confirmed);
+}
+
 // While a request waits, its changes are all reported. Without a wait, the lost history may hold changes that are not
 // known.
 void FeedClock::handleHistoryLost(Instant written, Instant answered)
--- a/src/Fleet/FeedClock.h
+++ b/src/Fleet/FeedClock.h
@@ -22,6 +22,9 @@
     /// or later. Returns the earliest time of the reported changes; nothing if it is unknown.
     std::optional<Instant> handleFeedAnswer(Instant written, Instant answered);
 
+    /// Another VM has confirmed that all changes up to `confirmed` are known to this VM.
+    void handleConfirmation(Instant confirmed);
+
     /// The feed has answered, at `answered` or later, that it no longer keeps the changes.
     void handleHistoryLost(Instant written, Instant answered);
 
--- a/src/Fleet/FleetControl.cpp
+++ b/src/Fleet/FleetControl.cpp
@@ -40,6 +40,8 @@
     , random(this->settings.seed)
     , digestKey(randomBytes(digestKeyBytes))
     , drainClock(this->settings.drainLimit)
+    , feedMonitor(this->settings.feedMonitor, this->settings.seed)
+    , confirmationPeers(this->settings.self.vm, this->settings.seed)
     , lifetime(std::make_shared<int>(0))
 {
 }
@@ -56,6 +58,14 @@
         this->timers.cancel(*this->membershipTimer);
     if (this->revocationTimer)
         this->timers.cancel(*this->revocationTimer);
+    if (this->feedMonitorTimer)
+        this->timers.cancel(*this->feedMonitorTimer);
+}
+
+void FleetControl::follow(DirectoryFeed& followed)
+{
+    this->feed = &followed;
+    followed.start(*this);
 }
 
 void FleetControl::start()
@@ -304,6 +314,43 @@
             { "waited_ms", millisecondsText(step.waited) } });
 }
 
+void FleetControl::onTableAnswered(const TableAnswered& answered) { this->handleFeedMonitorEvent(answered); }
+
+void FleetControl::onTablesConfirmed(const TablesConfirmed& message)
+{
+    this->handleFeedMonitorEvent(ConfirmationReceived { message });
+}
+
+void FleetControl::handleFeedMonitorEvent(const FeedMonitorEvent& event)
+{
+    for (const FeedMonitorEffect& effect : this->feedMonitor.handle(event, this->timers.now()))
+        this->executeFeedMonitorEffect(effect);
+}
+
+void FleetControl::executeFeedMonitorEffect(const FeedMonitorEffect& effect)
+{
+    if (const auto* recheck = std::get_if<RecheckTable>(&effect)) {
+        if (!this->feed || !this->feed->recheck(recheck->table, recheck->confirmedAt))
+            return;
+        this->metrics.feedRechecked(recheck->reason);
+        this->log.write("feed_rechecked",
+            { { "table", recheck->table }, { "reason", recheck->reason },
+                { "confirmed_ms_ago", millisecondsText(this->timers.now() - recheck->confirmedAt) } });
+    } else if (const auto* confirmation = std::get_if<SpreadConfirmation>(&effect)) {
+        this->traffic.confirmTables(confirmation->message, this->confirmationPeers.choose());
+    } else if (const auto* wait = std::get_if<LimitFeedWait>(&effect)) {
+        if (this->feed)
+            this->feed->limitWait(wait->limit);
+    } else if (const auto* timer = std::get_if<SetFeedMonitorTimer>(&effect)) {
+        if (this->feedMonitorTimer)
+            this->timers.cancel(*this->feedMonitorTimer);
+        this->feedMonitorTimer = this->timers.schedule(timer->when, [this] {
+            this->feedMonitorTimer.reset();
+            this->handleFeedMonitorEvent(FeedMonitorTimerFired {});
+        });
+    }
+}
+
 void FleetControl::publishDirectory()
 {
     if (!this->configuration || !this->hasRegistry)
@@ -476,6 +523,8 @@
     std::vector<FleetMember> vms = list.members;
     markShareHolders(vms, this->settings.shares.ledger);
     this->traffic.setPeers(vms);
+    this->confirmationPeers.setMembers(vms);
+    this->handleFeedMonitorEvent(MonitorRankChanged { this->confirmationPeers.rank() });
     VmsChanged change;
     for (const FleetMember& peer : vms)
         change.vms.push_back(peer.vm);
--- a/src/Fleet/FleetControl.h
+++ b/src/Fleet/FleetControl.h
@@ -1,9 +1,11 @@
 #pragma once
 
 #include "Core/RandomGenerator.h"
+#include "Fleet/ConfirmationPeers.h"
 #include "Fleet/Directory.h"
 #include "Fleet/DirectoryFeed.h"
 #include "Fleet/DrainClock.h"
+#include "Fleet/FeedMonitor.h"
 #include "Fleet/FleetMembership.h"
 #include "Fleet/RegistryFilter.h"
 #include "Fleet/TableStore.h"
@@ -31,6 +33,7 @@
     FleetMembershipSettings membership;
     ShareLeaseSettings shares;
     PromotionCoordinatorSettings promotion;
+    FeedMonitorSettings feedMonitor;
     /// Time after which an endpoint with a lapsed registration is removed. Registrations that lapse while the store is
     /// unavailable are renewed within two seconds of its return.
     Duration lapseGrace = std::chrono::milliseconds(2500);
@@ -52,6 +55,9 @@
     /// Announces this VM to others.
     virtual void announceMember(const AnnounceMember&) = 0;
 
+    /// Tells other VMs what this VM knows of the tables.
+    virtual void confirmTables(const TablesConfirmed&, const std::vector<std::string>& addresses) = 0;
+
     /// Starts to obtain a lease on primaries. Called once, after the VM has joined the fleet.
     virtual void startPrimaryLease(std::vector<PrimaryRevocation> stored) = 0;
 
@@ -76,10 +82,14 @@
     /// Starts to join the fleet.
     void start();
 
+    /// Starts to follow the feed and to monitor it. The feed must outlive this object.
+    void follow(DirectoryFeed&);
+
     void onConfigurationRead(SessionConfiguration) override;
     bool onRegistryRead(const RegistryRead&) override;
     void onSourceAvailabilityChanged(const std::string& reason) override;
     void onFeedStep(const FeedStep&) override;
+    void onTableAnswered(const TableAnswered&) override;
 
     /// True once the VM has a configuration, a registry and a share of the limits, so that it can serve callers.
     bool ready() const { return this->configuration && this->hasRegistry && this->hasShares; }
@@ -87,6 +97,9 @@
     /// Another VM has joined the fleet.
     void onMemberAnnounced(const FleetMember&);
 
+    /// Another VM has told what it knows of the tables.
+    void onTablesConfirmed(const TablesConfirmed&);
+
     /// The traffic thread has learnt of a revocation.
     void onPrimaryRevoked(const PrimaryRevocation&);
 
@@ -115,6 +128,8 @@
     void scheduleRevocationRecords(Duration delay);
     void executeShareEffects(std::vector<ShareEffect>);
     void executePromotionEffect(PromotionEffect&);
+    void handleFeedMonitorEvent(const FeedMonitorEvent&);
+    void executeFeedMonitorEffect(const FeedMonitorEffect&);
     void onShareTimer();
     void setShareTimer(Instant when);
 
@@ -142,6 +157,10 @@
     std::map<EndpointId, RegisteredEndpoint> registry;
     DrainClock drainClock;
     std::map<EndpointId, Instant> lapseTimes;
+    DirectoryFeed* feed = nullptr; ///< null until `follow`
+    FeedMonitor feedMonitor;
+    ConfirmationPeers confirmationPeers;
+    std::optional<Timers::Handle> feedMonitorTimer;
     bool hasRegistry = false;
     bool hasShares = false;
     bool hasJoinedFleet = false; ///< true once the ledger lists this VM
--- a/src/Fleet/StoreClock.h
+++ b/src/Fleet/StoreClock.h
@@ -2,6 +2,7 @@
 
 #include "Fleet/TableStore.h"
 
+#include <cstdint>
 #include <optional>
 
 namespace Lavendervane {
@@ -17,6 +18,9 @@
     /// certain. Not earlier than `reading.sent` and not later than `reading.received`.
     Instant earliestTimeOf(const TableClock& reading) const;
 
+    /// The same for a reading that another VM has taken. Returns nothing if this VM has taken none.
+    std::optional<Instant> earliestTimeOf(uint64_t milliseconds) const;
+
 private:
     std::optional<TableClock> reference; ///< reading that gives the latest certain time
 };
--- a/src/Metrics/SessionMetrics.cpp
+++ b/src/Metrics/SessionMetrics.cpp
@@ -33,6 +33,10 @@
                          .Name("lavendervane_promotion_orders_total")
                          .Help("Orders to promote by this VM, by result")
                          .Register(registry))
+        , feedRechecks(BuildCounter()
+                           .Name("lavendervane_feed_rechecks_total")
+                           .Help("Tables whose changes were asked for anew, because the feed may have gone silent")
+                           .Register(registry))
         , drainingStatements(BuildCounter()
                                  .Name("lavendervane_statements_to_draining_total")
                                  .Help("Statements that this VM passed on to endpoints that are leaving")
@@ -68,6 +72,7 @@
     Family<Counter>& servedStatements;
     Family<Counter>& endpointChanges;
     Family<Counter>& promotions;
+    Family<Counter>& feedRechecks;
     Counter& drainingStatements;
     Counter& doneStatements;
     Counter& servedAtPrimary;
@@ -123,6 +128,11 @@
     this->families->storeGeneration.Set(static_cast<double>(generation));
 }
 
+void SessionMetrics::feedRechecked(std::string_view reason)
+{
+    this->families->feedRechecks.Add({ { "reason", std::string(reason) } }).Increment();
+}
+
 void SessionMetrics::promotionOrdered(std::string_view result)
 {
     this->families->promotions.Add({ { "result", std::string(result) } }).Increment();
--- a/src/Metrics/SessionMetrics.h
+++ b/src/Metrics/SessionMetrics.h
@@ -43,6 +43,10 @@
     /// Sets the generation of the store's content, which rises when the store is restored from an older copy.
     void setStoreGeneration(uint64_t);
 
+    /// Counts a table whose changes were asked for anew, because its feed may have gone silent. `reason` is
+    /// "unconfirmed" or "behind".
+    void feedRechecked(std::string_view reason);
+
     /// Counts an order to promote an endpoint. `result` is the outcome of the order.
     void promotionOrdered(std::string_view result);
 
--- a/src/Peers/PeerMessages.cpp
+++ b/src/Peers/PeerMessages.cpp
@@ -25,6 +25,7 @@
     RevocationRequestKind = 10,
     RevocationReplyKind = 11,
     MemberAnnouncementKind = 12,
+    TablesConfirmedKind = 13,
 };
 
 Json encodeRevocation(const PrimaryRevocation& revocation)
@@ -88,6 +89,13 @@
         return { MemberAnnouncementKind, member.vm.str(), member.dataCentre.str(), member.address,
             member.cpuMillicores };
     }
+    Json operator()(const TablesConfirmed& message) const
+    {
+        Json tables = Json::array();
+        for (const TableConfirmation& table : message.tables)
+            tables.push_back(Json::array({ table.table, table.lastChange, table.storeTimeMs }));
+        return { TablesConfirmedKind, message.generation, std::move(tables) };
+    }
 };
 
 } // namespace
@@ -118,6 +126,14 @@
     return revocations;
 }
 
+static std::vector<TableConfirmation> tableConfirmationsAt(const Json& json, size_t index)
+{
+    std::vector<TableConfirmation> tables;
+    for (const Json& entry : json.at(index))
+        tables.push_back({ stringAt(entry, 0), numberAt(entry, 1), numberAt(entry, 2) });
+    return tables;
+}
+
 static std::optional<PeerMessage> decode(const Json& json)
 {
     switch (numberAt(json, 0)) {
@@ -154,6 +170,8 @@
     case MemberAnnouncementKind:
         return MemberAnnouncement { { VmId(stringAt(json, 1)), DataCentre(stringAt(json, 2)), stringAt(json, 3),
             decodeUnsignedAs<uint32_t>(json.at(4)) } };
+    case TablesConfirmedKind:
+        return TablesConfirmed { numberAt(json, 1), tableConfirmationsAt(json, 2) };
     default:
         return std::nullopt; // message of a newer program version
     }
--- a/src/Peers/PeerMessages.h
+++ b/src/Peers/PeerMessages.h
@@ -122,9 +122,26 @@
     friend bool operator==(const MemberAnnouncement&, const MemberAnnouncement&) = default;
 };
 
-using PeerMessage
-    = std::variant<TokenRequest, TokenReply, ReachabilityRequest, ReachabilityReply, PromotionNotice, LeaseRequest,
-        LeaseReply, ConfirmationRequest, ConfirmationReply, RevocationRequest, RevocationReply, MemberAnnouncement>;
+/// A table of the platform's store had no change after `lastChange` at a time of the store's clock.
+struct TableConfirmation {
+    std::string table;
+    uint64_t lastChange = 0; ///< revision of the table's newest change
+    uint64_t storeTimeMs = 0;
+
+    friend bool operator==(const TableConfirmation&, const TableConfirmation&) = default;
+};
+
+/// Tells another VM what the sender knows of the tables that all VMs follow.
+struct TablesConfirmed {
+    uint64_t generation = 0; ///< generation of the store's content; 0 if it is not reported
+    std::vector<TableConfirmation> tables;
+
+    friend bool operator==(const TablesConfirmed&, const TablesConfirmed&) = default;
+};
+
+using PeerMessage = std::variant<TokenRequest, TokenReply, ReachabilityRequest, ReachabilityReply, PromotionNotice,
+    LeaseRequest, LeaseReply, ConfirmationRequest, ConfirmationReply, RevocationRequest, RevocationReply,
+    MemberAnnouncement, TablesConfirmed>;
 
 /// Encodes a message in CBOR (RFC 8949). The result is shorter than 1,400 bytes.
 std::string encodePeerMessage(const PeerMessage&);
--- a/src/Statements/StatementService.cpp
+++ b/src/Statements/StatementService.cpp
@@ -214,6 +214,8 @@
         this->lease.handle(sender, *revocationReply);
     } else if (const auto* announcement = std::get_if<MemberAnnouncement>(&message)) {
         this->listener.memberAnnounced(announcement->member);
+    } else if (const auto* confirmed = std::get_if<TablesConfirmed>(&message)) {
+        this->listener.tablesConfirmed(*confirmed);
     }
 }
 
@@ -278,6 +280,12 @@
         this->peers.send(address, MemberAnnouncement { member });
 }
 
+void StatementService::confirmTables(const TablesConfirmed& message, const std::vector<std::string>& addresses)
+{
+    for (const std::string& address : addresses)
+        this->peers.send(address, message);
+}
+
 void StatementService::endpointReachabilityChanged(const EndpointId& endpoint, bool reachable)
 {
     this->trafficLog.endpointChanged(endpoint, reachable ? "reachable" : "unreachable");
--- a/src/Statements/StatementService.h
+++ b/src/Statements/StatementService.h
@@ -65,6 +65,9 @@
     /// Another VM has joined the fleet.
     virtual void memberAnnounced(const FleetMember&) = 0;
 
+    /// Another VM has told what it knows of the tables.
+    virtual void tablesConfirmed(const TablesConfirmed&) = 0;
+
     /// The load balancer should start or stop sending new callers to this VM.
     virtual void acceptsCallersChanged(bool accepts) = 0;
 };
@@ -116,6 +119,9 @@
     /// Announces a VM to others.
     void announceMember(const FleetMember&, const std::vector<std::string>& addresses);
 
+    /// Tells other VMs what this VM knows of the tables.
+    void confirmTables(const TablesConfirmed&, const std::vector<std::string>& addresses);
+
     /// Records that a new primary is expected, and notifies the other VMs.
     void announcePromotion(const GroupId&, const EndpointId&, Duration expectedIn);
 
--- a/tests/Adapter/DirectorySourceTest.cpp
+++ b/tests/Adapter/DirectorySourceTest.cpp
@@ -29,6 +29,7 @@
     }
     void onSourceAvailabilityChanged(const std::string&) override { }
     void onFeedStep(const FeedStep& step) override { this->steps.push_back(step); }
+    void onTableAnswered(const TableAnswered&) override { }
 
     uint64_t configurationVersion = 0; ///< version that was read last
     std::vector<RegisteredEndpoint> endpoints;
--- a/tests/Adapter/FleetRestoreTest.cpp
+++ b/tests/Adapter/FleetRestoreTest.cpp
@@ -1,26 +1,10 @@
-#include "DirectorySource.h"
-#include "StoreClient.h"
-#include "StoreStandIn.h"
+#include "ControlledVm.h"
 
-#include "Fleet/ControlFakes.h"
-#include "Limits/LimitShares.h"
-#include "Metrics/SessionMetrics.h"
-#include "Runtime/AsioTimers.h"
-#include "Runtime/StructuredLog.h"
-
-#include <boost/asio/io_context.hpp>
 #include <boost/test/unit_test.hpp>
-#include <prometheus/registry.h>
-
-#include <fcntl.h>
-#include <unistd.h>
 
 #include <chrono>
-#include <functional>
-#include <memory>
 #include <optional>
 #include <string>
-#include <vector>
 
 using namespace Lavendervane;
 using namespace Lavendervane::Adapter;
@@ -30,53 +14,20 @@
 
 const GroupId stock("stock");
 
-std::string entryText(const std::string& role, const std::string& address, uint64_t sequence)
-{
-    return R"({"service":"stock","address":")" + address
-        + R"(","zone":"a","version":"v1","slots":2,"state":"ready","cold_remaining_ms":0,"db_role":")" + role
-        + R"(","sequence":)" + std::to_string(sequence) + R"(,"born":1700000000000})";
-}
-
-/// Control of one VM in front of a store, where promotions are not fenced. The store's copy was made before the VM
-/// joined the fleet and while endpoint "a" was the primary; now "b" is.
-struct FleetRestoreFixture {
+/// The store's copy was made before the VM joined the fleet and while endpoint "a" was the primary; now "b" is.
+struct FleetRestoreFixture : ControlledVm {
     FleetRestoreFixture()
     {
         this->putConfiguration(4);
         this->store.put("servers", "a", entryText("primary", "10.128.0.8:8080", 1));
         this->store.put("servers", "b", entryText("replica", "10.128.0.9:8080", 1));
         this->store.saveCopy();
-        this->control.start();
-        this->source.start(this->control);
-        this->waitFor([this] { return this->control.ready() && this->traffic.hasStartedLease; });
+        this->start();
         this->store.put("servers", "a", entryText("replica", "10.128.0.8:8080", 5));
         this->store.put("servers", "b", entryText("primary", "10.128.0.9:8080", 5));
         this->waitFor([this] { return this->primary() == EndpointId("b"); });
     }
 
-    ~FleetRestoreFixture() { ::close(this->logDescriptor); }
-
-    static FleetControlSettings makeSettings()
-    {
-        FleetControlSettings settings;
-        settings.self = { VmId("vm-1"), DataCentre("a"), "10.0.0.1:7560", 1000 };
-        settings.runId = "run-1";
-        settings.seed = 1;
-        settings.membership.joinJitter = 50ms;
-        settings.membership.settleTime = 100ms;
-        settings.shares.initialWriteJitter = 50ms;
-        settings.shares.claimJitter = 50ms;
-        settings.promotion.primaryLease = 1500ms;
-        return settings;
-    }
-
-    void putConfiguration(uint64_t version)
-    {
-        this->store.put("op", "config",
-            R"({"version":)" + std::to_string(version)
-                + R"(,"routes":[],"services":[{"name":"stock","max_connections":36}]})");
-    }
-
     EndpointId primary() const
     {
         if (this->traffic.directory) {
@@ -95,27 +46,6 @@
         this->store.restore();
         this->store.comeBack();
     }
-
-    void waitFor(const std::function<bool()>& condition)
-    {
-        const auto deadline = std::chrono::steady_clock::now() + 8s;
-        while (!condition() && std::chrono::steady_clock::now() < deadline)
-            this->context.run_one_for(50ms);
-        BOOST_TEST(condition());
-    }
-
-    boost::asio::io_context context;
-    StoreStandIn store { context };
-    StoreClient client { context, store.address() };
-    DirectorySource source { context, client };
-    AsioTimers timers { context };
-    prometheus::Registry registry;
-    SessionMetrics metrics { registry };
-    int logDescriptor = ::open("/dev/null", O_WRONLY | O_CLOEXEC);
-    StructuredLog log { "vm-1", { .descriptor = logDescriptor } };
-    RecordingTraffic traffic;
-    NoPromotions orders;
-    FleetControl control { makeSettings(), timers, client, orders, traffic, log, metrics };
 };
 
 } // namespace
--- a/tests/Adapter/OddEntryTest.cpp
+++ b/tests/Adapter/OddEntryTest.cpp
@@ -81,6 +81,7 @@
     }
     void onSourceAvailabilityChanged(const std::string&) override { }
     void onFeedStep(const FeedStep&) override { }
+    void onTableAnswered(const TableAnswered&) override { }
 
     std::vector<std::string> ids;
 };
--- a/tests/Adapter/StoreStandIn.cpp
+++ b/tests/Adapter/StoreStandIn.cpp
@@ -43,6 +43,10 @@
 
     void handle(HttpRequest request, HttpRespond respond) override
     {
+        if (this->store.isSilent) {
+            this->store.unanswered.push_back(std::move(respond));
+            return;
+        }
         const std::string target(request.target());
         const std::string table = queryValue(target, "table");
         if (target.starts_with("/-/rows-get"))
@@ -116,6 +120,10 @@
 
 void StoreStandIn::respondWith(const HttpRespond& respond, unsigned status, std::string body) const
 {
+    if (this->isSilent) {
+        this->unanswered.push_back(respond);
+        return;
+    }
     HttpResponse response = makeJsonResponse(status, std::move(body));
     if (this->reportsGeneration)
         response.set("Store-Era", std::to_string(this->generation));
--- a/tests/Adapter/StoreStandIn.h
+++ b/tests/Adapter/StoreStandIn.h
@@ -11,6 +11,7 @@
 #include <optional>
 #include <string>
 #include <utility>
+#include <vector>
 
 namespace Lavendervane::Adapter {
 
@@ -35,6 +36,11 @@
     void goAway();
     void comeBack();
 
+    /// Accepts connections and requests and answers none. What would have been answered meanwhile is never answered,
+    /// and its connection delivers nothing further.
+    void fallSilent() { this->isSilent = true; }
+    void answerAgain() { this->isSilent = false; }
+
     /// Goes back to the previous generation, as seen by a caller whose answer was delayed.
     void reportEarlierGeneration() { --this->generation; }
 
@@ -90,6 +96,8 @@
     Content copy;
     uint64_t generation = 1;
     uint16_t port = 0;
+    bool isSilent = false;
+    mutable std::vector<HttpRespond> unanswered; ///< keeps the connections of lost answers open
     std::list<FeedRequest> waiting;
     std::unique_ptr<HttpServer> server;
 };
--- a/tests/Fleet/ControlFakes.h
+++ b/tests/Fleet/ControlFakes.h
@@ -26,6 +26,7 @@
     void setPeers(std::vector<FleetMember>) override { }
     void announcePromotion(const AnnouncePromotion&) override { }
     void announceMember(const AnnounceMember&) override { }
+    void confirmTables(const TablesConfirmed&, const std::vector<std::string>&) override { }
     void startPrimaryLease(std::vector<PrimaryRevocation>) override { this->hasStartedLease = true; }
     void pollReachability(const PollReachability&, std::function<void(ReachabilityPolled)>) override { }
     void queryStatuses(const QueryEndpointStatuses&, std::function<void(EndpointStatusesReceived)>) override { }
--- a/tests/Peers/PeerMessagesTest.cpp
+++ b/tests/Peers/PeerMessagesTest.cpp
@@ -19,7 +19,8 @@
         LeaseReply { 10, false, 0, {} }, ConfirmationRequest { 11 },
         ConfirmationReply { 11, 12, { { GroupId("stock"), EndpointId("a"), 41 } } },
         RevocationRequest { 12, { GroupId("stock"), EndpointId("a"), 41, "10.0.0.11:1" } }, RevocationReply { 12, 12 },
-        MemberAnnouncement { { VmId("vm-1"), DataCentre("dc"), "10.0.0.1:7560", 170 } } };
+        MemberAnnouncement { { VmId("vm-1"), DataCentre("dc"), "10.0.0.1:7560", 170 } },
+        TablesConfirmed { 3, { { "configuration", 41, 7'000'000'000 }, { "registry", 44, 7'000'000'200 } } } };
     for (const PeerMessage& message : messages) {
         const auto decoded = decodePeerMessage(encodePeerMessage(message));
         BOOST_REQUIRE(decoded);
--- a/tests/Statements/ServiceFixture.h
+++ b/tests/Statements/ServiceFixture.h
@@ -85,6 +85,7 @@
     void promotionNoticeReceived(const GroupId&) override { }
     void primaryRevoked(const PrimaryRevocation& revocation) override { this->revocations.push_back(revocation); }
     void memberAnnounced(const FleetMember&) override { }
+    void tablesConfirmed(const TablesConfirmed&) override { }
     void acceptsCallersChanged(bool accepts) override { this->acceptsCallers.push_back(accepts); }
 
     std::vector<std::pair<EndpointId, bool>> reachability;
