Log what a planned stop does to open transactions

There was no line at half of the grace time, when open transactions are rolled back. transactions_aborting and transactions_aborted count the transactions, and those with a statement under way, before and after; sessions_cut counts them when the stop ends. No logic is changed.

--- a/src/Fleet/EntryDaemon.cpp
+++ b/src/Fleet/EntryDaemon.cpp
@@ -357,11 +357,27 @@
         const Instant now = this->controlTimers.now();
         const Duration limit = this->settings.stopLimit;
         this->controlTimers.schedule(now + this->settings.balancerDetectionTime, [this] { this->closeSessions(); });
-        this->controlTimers.schedule(now + limit / 2,
-            [this] { asio::post(this->trafficContext, [this] { this->service.abortTransactions(); }); });
+        this->controlTimers.schedule(
+            now + limit / 2, [this] { asio::post(this->trafficContext, [this] { this->abortTransactions(); }); });
         this->controlTimers.schedule(now + limit - this->settings.closeReserve, [this] { this->stopTraffic(); });
     }
 
+    // Called on the traffic thread.
+    void abortTransactions()
+    {
+        this->logSessions("transactions_aborting");
+        this->service.abortTransactions();
+        this->logSessions("transactions_aborted");
+    }
+
+    void logSessions(std::string_view event)
+    {
+        const SessionCounts counts = this->service.countSessions();
+        this->log.write(event,
+            { { "sessions", std::to_string(counts.sessions) }, { "transactions", std::to_string(counts.transactions) },
+                { "pending_statements", std::to_string(counts.pendingStatements) } });
+    }
+
     void closeSessions()
     {
         asio::post(this->trafficContext, [this] {
@@ -387,9 +403,8 @@
         if (std::exchange(this->trafficStopped, true))
             return;
         asio::post(this->trafficContext, [this] {
-            const size_t sessions = this->service.sessionCount();
-            if (sessions)
-                this->log.write("sessions_cut", { { "count", std::to_string(sessions) } });
+            if (this->service.sessionCount())
+                this->logSessions("sessions_cut");
             this->service.shutDown();
             asio::post(this->controlContext, [this] { this->control.stop([this] { this->controlContext.stop(); }); });
         });
--- a/src/Statements/CallerSession.h
+++ b/src/Statements/CallerSession.h
@@ -41,6 +41,11 @@
     /// Rolls the open transaction back. The caller gets `reason` in answer to its next statement.
     void abortTransaction(const std::string& reason);
 
+    bool hasOpenTransaction() const { return this->transaction && !this->transaction->failed; }
+
+    /// True while a statement is pending.
+    bool isBusy() const { return this->isStatementPending; }
+
 private:
     /// A statement that runs outside a transaction, or the begin of a transaction at an endpoint.
     struct Operation {
--- a/src/Statements/StatementService.cpp
+++ b/src/Statements/StatementService.cpp
@@ -177,6 +177,18 @@
     this->relay.shutDown();
 }
 
+SessionCounts StatementService::countSessions() const
+{
+    SessionCounts counts { this->sessions.size(), 0, 0 };
+    for (const CallerSession* session : this->sessions) {
+        if (!session->hasOpenTransaction())
+            continue;
+        ++counts.transactions;
+        counts.pendingStatements += session->isBusy();
+    }
+    return counts;
+}
+
 void StatementService::removeSession(CallerSession& session)
 {
     this->sessions.erase(&session);
--- a/src/Statements/StatementService.h
+++ b/src/Statements/StatementService.h
@@ -48,6 +48,15 @@
     Duration primaryChangeTimeout = std::chrono::milliseconds(150);
 };
 
+/// Numbers of sessions, for logs.
+struct SessionCounts {
+    size_t sessions = 0;
+    size_t transactions = 0; ///< sessions with an open transaction that has not failed
+    size_t pendingStatements = 0; ///< of these, sessions with a pending statement
+
+    friend bool operator==(const SessionCounts&, const SessionCounts&) = default;
+};
+
 /// Receives events of the traffic thread that concern the control thread. All calls are made on the traffic thread.
 class TrafficListener {
 public:
@@ -147,6 +156,7 @@
     /// Updates the isolation detector. Must be called when a primary may have become reachable or unreachable.
     void checkIsolation();
     size_t sessionCount() const { return this->sessions.size(); }
+    SessionCounts countSessions() const;
 
     void removeSession(CallerSession&);
 
