Abort transactions of a stopping VM also after a pending statement

Cause: at half of the grace time, transactions with a pending statement were passed over, and nothing came back to them. Their callers went on until the stop ended the traffic.

Change: whether a transaction may go on depends on the state of the service, which is checked when it changes and after each answer. A begin after that is refused as not run, and the first statement after an abort gets its reason, also SET, PREPARE and DEALLOC. No order of events can skip a session, because every path from a pending statement to the next one leads through the answer.

--- a/src/Statements/CallerOperation.cpp
+++ b/src/Statements/CallerOperation.cpp
@@ -49,6 +49,10 @@
         this->refuse(AnswerCode::Malformed, "a transaction is open");
         return;
     }
+    if (this->service.endsTransactions()) {
+        this->refuse(AnswerCode::Busy, "the proxy is stopping; retry at once on a new connection");
+        return;
+    }
     if (this->startOperation(next, true))
         this->admit();
 }
--- a/src/Statements/CallerSession.cpp
+++ b/src/Statements/CallerSession.cpp
@@ -108,7 +108,7 @@
 void CallerSession::setValue(const Statement& set)
 {
     if (this->transaction && this->transaction->failed) {
-        this->refuse(AnswerCode::Malformed, "the transaction has failed");
+        this->refuseInFailedTransaction();
         return;
     }
     this->values.set(set.name, set.text);
@@ -118,7 +118,7 @@
 void CallerSession::prepare(const Statement& definition)
 {
     if (this->transaction && this->transaction->failed) {
-        this->refuse(AnswerCode::Malformed, "the transaction has failed");
+        this->refuseInFailedTransaction();
         return;
     }
     this->preparedStatements[definition.name] = { definition.effect, definition.text };
@@ -128,7 +128,7 @@
 void CallerSession::deallocate(const Statement& named)
 {
     if (this->transaction && this->transaction->failed) {
-        this->refuse(AnswerCode::Malformed, "the transaction has failed");
+        this->refuseInFailedTransaction();
         return;
     }
     if (!this->preparedStatements.erase(named.name)) {
@@ -167,6 +167,7 @@
         final.state = this->transaction->failed && this->transaction->failure.empty() ? TransactionState::Failed
                                                                                       : TransactionState::Open;
     this->link->answer(final);
+    this->checkTransaction();
     if (this->transaction && !this->transaction->failed)
         this->startIdleTimer();
     if (this->service.shouldCloseSessions())
@@ -203,7 +204,7 @@
 
 void CallerSession::handleDirectoryChange()
 {
-    if (!this->isOpen || !this->transaction || this->transaction->failed)
+    if (!this->isOpen || !this->hasOpenTransaction() || this->isStatementPending)
         return;
     OrganisationId organisation;
     if (!this->authorise(this->transaction->route, organisation))
--- a/src/Statements/CallerSession.h
+++ b/src/Statements/CallerSession.h
@@ -38,8 +38,9 @@
     /// again after each answer while the service is closing sessions.
     void closeIfIdle();
 
-    /// Rolls the open transaction back. The caller gets `reason` in answer to its next statement.
-    void abortTransaction(const std::string& reason);
+    /// Rolls the open transaction back if it must not go on. The caller gets the reason in answer to its next
+    /// statement. A transaction with a pending statement is checked again after the answer.
+    void checkTransaction();
 
     bool hasOpenTransaction() const { return this->transaction && !this->transaction->failed; }
 
@@ -123,6 +124,9 @@
     void handleTransactionAnswer(ExchangeResult);
     void handleCommitAnswer(ExchangeResult, Instant sent);
     void endTransaction(bool sendRollback);
+    std::string reasonToAbort() const;
+    void abortTransaction(const std::string& reason);
+    void refuseInFailedTransaction();
     void startIdleTimer();
 
     std::vector<Statement> withSetupStatements(const std::shared_ptr<PooledConnection>&, const Statement&);
--- a/src/Statements/CallerTransaction.cpp
+++ b/src/Statements/CallerTransaction.cpp
@@ -3,6 +3,7 @@
 
 #include "Statements/StatementService.h"
 
+#include <cassert>
 #include <utility>
 
 namespace Lavendervane {
@@ -11,11 +12,7 @@
 {
     Transaction& open = *this->transaction;
     if (open.failed) {
-        const std::string failure = std::exchange(open.failure, "");
-        if (failure.empty())
-            this->refuse(AnswerCode::Malformed, "the transaction has failed");
-        else
-            this->refuse(AnswerCode::Aborted, failure);
+        this->refuseInFailedTransaction();
         return;
     }
     OrganisationId organisation;
@@ -149,8 +146,9 @@
         return;
     }
     if (open.failed || !open.connection->isAlive()) {
+        const std::string reason = open.failure.empty() ? "the transaction has failed" : open.failure;
         this->endTransaction(true);
-        this->refuse(AnswerCode::Aborted, "the transaction has failed");
+        this->refuse(AnswerCode::Aborted, reason);
         return;
     }
     if (open.wrote && !this->mayUsePrimary(open.endpoint)) {
@@ -235,10 +233,25 @@
         });
 }
 
-void CallerSession::abortTransaction(const std::string& reason)
+// Returns the reason for which the open transaction must not go on; empty if it may.
+std::string CallerSession::reasonToAbort() const
+{
+    if (this->service.endsTransactions())
+        return "the proxy is stopping";
+    return {};
+}
+
+void CallerSession::checkTransaction()
 {
-    if (!this->transaction || this->transaction->failed || this->isStatementPending)
+    if (!this->hasOpenTransaction() || this->isStatementPending)
         return;
+    if (const std::string reason = this->reasonToAbort(); !reason.empty())
+        this->abortTransaction(reason);
+}
+
+void CallerSession::abortTransaction(const std::string& reason)
+{
+    assert(this->hasOpenTransaction() && !this->isStatementPending);
     Transaction replacement = *this->transaction;
     this->endTransaction(true);
     replacement.connection.reset();
@@ -248,6 +261,16 @@
     this->transaction = std::move(replacement);
 }
 
+// The first statement after an abort learns the reason.
+void CallerSession::refuseInFailedTransaction()
+{
+    const std::string failure = std::exchange(this->transaction->failure, "");
+    if (failure.empty())
+        this->refuse(AnswerCode::Malformed, "the transaction has failed");
+    else
+        this->refuse(AnswerCode::Aborted, failure);
+}
+
 void CallerSession::startIdleTimer()
 {
     const Duration limit = this->service.directory()->configuration().transactionIdleLimit;
--- a/src/Statements/StatementService.cpp
+++ b/src/Statements/StatementService.cpp
@@ -164,9 +164,10 @@
 
 void StatementService::abortTransactions()
 {
+    this->isEndingTransactions = true;
     const auto all = this->sessions;
     for (CallerSession* session : all)
-        session->abortTransaction("the proxy is stopping");
+        session->checkTransaction();
 }
 
 void StatementService::shutDown()
--- a/src/Statements/StatementService.h
+++ b/src/Statements/StatementService.h
@@ -141,9 +141,13 @@
     /// Number of links with batches or transactions of other VMs in progress on this VM.
     size_t busyRelayLinks() const { return this->relay.busyLinkCount(); }
 
-    /// Rolls open transactions back, so that their sessions can be closed.
+    /// Rolls open transactions back, so that their sessions can be closed, and lets none begin. A transaction with a
+    /// pending statement is rolled back after the answer.
     void abortTransactions();
 
+    /// True after `abortTransactions`.
+    bool endsTransactions() const { return this->isEndingTransactions; }
+
     /// Closes all connections to endpoints.
     void shutDown();
 
@@ -189,6 +193,7 @@
     std::optional<Timers::Handle> isolationTimer;
     bool acceptsCallers = true;
     bool isClosing = false;
+    bool isEndingTransactions = false;
 };
 
 } // namespace Lavendervane
--- a/tests/Statements/CallerSessionTest.cpp
+++ b/tests/Statements/CallerSessionTest.cpp
@@ -456,6 +456,71 @@
     BOOST_TEST(busy->closed);
 }
 
+// Guards against a transaction that is passed over because a statement is pending, and goes on until the stop cuts it.
+BOOST_AUTO_TEST_CASE(Stop_TransactionWithPendingStatement_IsAbortedAfterAnswer)
+{
+    auto caller = this->open("strong");
+    caller->send(StatementKind::Begin);
+    caller->send(StatementKind::Write, "WRITE x 1");
+    this->service->closeIdleSessions();
+    this->service->abortTransactions();
+    this->settle();
+    BOOST_REQUIRE(caller->answers.size() == 2U);
+    BOOST_TEST((caller->last().code == AnswerCode::Done));
+    BOOST_TEST(this->connector.database("a").receivedStatements.back() == "rollback");
+    caller->send(StatementKind::Write, "WRITE y 1");
+    this->settle();
+    BOOST_TEST((caller->last().code == AnswerCode::Aborted));
+    caller->send(StatementKind::Rollback);
+    BOOST_TEST((caller->last().code == AnswerCode::Done));
+    BOOST_TEST(caller->closed);
+    BOOST_TEST(this->connector.database("a").receivedStatements == (Statements { "begin", "WRITE x 1", "rollback" }),
+        boost::test_tools::per_element());
+}
+
+// Guards against a transaction that begins after the others have been aborted, and is cut by the end of the stop.
+BOOST_AUTO_TEST_CASE(Stop_BeginAfterTransactionsWereAborted_IsRefusedAsNotRun)
+{
+    auto caller = this->open("strong");
+    this->service->abortTransactions();
+    caller->send(StatementKind::Begin);
+    BOOST_REQUIRE(caller->answers.size() == 1U);
+    BOOST_TEST((caller->last().code == AnswerCode::Busy));
+    BOOST_TEST((caller->last().state == TransactionState::Idle));
+}
+
+// Guards against a transaction whose commit is under way and that is rolled back after it has been committed.
+BOOST_AUTO_TEST_CASE(Stop_CommitPending_IsAnsweredAndSessionCloses)
+{
+    auto caller = this->open("strong");
+    caller->send(StatementKind::Begin);
+    caller->send(StatementKind::Write, "WRITE x 1");
+    this->settle();
+    caller->send(StatementKind::Commit);
+    this->service->closeIdleSessions();
+    this->service->abortTransactions();
+    this->settle();
+    BOOST_TEST((caller->last().code == AnswerCode::Done));
+    BOOST_TEST(caller->closed);
+    BOOST_TEST(this->connector.database("a").receivedStatements.back() == "commit");
+}
+
+// Guards against an abort that the caller of SET takes for a mistake of its own and does not repeat.
+BOOST_AUTO_TEST_CASE(Transaction_Aborted_NextStatementOfAnyKindTellsSo)
+{
+    for (const StatementKind kind : { StatementKind::SetValue, StatementKind::Prepare, StatementKind::Deallocate,
+             StatementKind::Read, StatementKind::Commit }) {
+        auto caller = this->open("strong");
+        caller->send(StatementKind::Begin);
+        caller->send(StatementKind::Write, "WRITE x 1");
+        this->settle();
+        this->timers.advance(4s);
+        caller->send(kind, "x", "x");
+        this->settle();
+        BOOST_TEST((caller->last().code == AnswerCode::Aborted));
+    }
+}
+
 // A VM that reaches no primary must close its sessions, so that callers reconnect to other VMs. It must accept callers
 // again once it reaches a primary.
 BOOST_AUTO_TEST_CASE(Stop_VmIsIsolated_SessionsCloseUntilPrimaryIsReachable)
