Log withdrawn keys of open transactions

The log did not say what happens to open transactions when their key is withdrawn. keys_withdrawn counts them, and those with a statement under way.

--- a/src/Fleet/EntryDaemon.cpp
+++ b/src/Fleet/EntryDaemon.cpp
@@ -117,6 +117,12 @@
         this->log.write("endpoint_" + std::string(change), { { "endpoint", endpoint.str() } });
     }
 
+    void keysWithdrawn(size_t transactions, size_t pending) override
+    {
+        this->log.write("keys_withdrawn",
+            { { "transactions", std::to_string(transactions) }, { "pending_statements", std::to_string(pending) } });
+    }
+
     void sessionsChanged(size_t count) override { this->metrics.setSessions(count); }
 
 private:
--- a/src/Statements/CallerSession.cpp
+++ b/src/Statements/CallerSession.cpp
@@ -202,12 +202,15 @@
     this->service.log().statementFailed(failed);
 }
 
-void CallerSession::handleDirectoryChange()
+bool CallerSession::isKeyWithdrawn() const
 {
-    if (!this->isOpen || !this->hasOpenTransaction() || this->isStatementPending)
-        return;
     OrganisationId organisation;
-    if (!this->authorise(this->transaction->route, organisation))
+    return this->hasOpenTransaction() && !this->authorise(this->transaction->route, organisation);
+}
+
+void CallerSession::handleDirectoryChange()
+{
+    if (!this->isStatementPending && this->isKeyWithdrawn())
         this->abortTransaction("the key has been withdrawn");
 }
 
--- a/src/Statements/CallerSession.h
+++ b/src/Statements/CallerSession.h
@@ -44,6 +44,9 @@
 
     bool hasOpenTransaction() const { return this->transaction && !this->transaction->failed; }
 
+    /// True if the open transaction needs a key that is not valid any more.
+    bool isKeyWithdrawn() const;
+
     /// True while a statement is pending.
     bool isBusy() const { return this->isStatementPending; }
 
--- a/src/Statements/StatementService.cpp
+++ b/src/Statements/StatementService.cpp
@@ -87,9 +87,16 @@
         entry.second->retireAll();
         return true;
     });
+    size_t withdrawn = 0;
+    size_t pending = 0;
     const auto all = this->sessions;
-    for (CallerSession* session : all)
+    for (CallerSession* session : all) {
+        withdrawn += session->isKeyWithdrawn();
+        pending += session->isKeyWithdrawn() && session->isBusy();
         session->handleDirectoryChange();
+    }
+    if (withdrawn)
+        this->trafficLog.keysWithdrawn(withdrawn, pending);
     this->checkIsolation();
 }
 
--- a/src/Statements/TrafficLog.h
+++ b/src/Statements/TrafficLog.h
@@ -52,6 +52,9 @@
     virtual void sentToDraining(const StatementToDraining&) = 0;
     virtual void endpointChanged(const EndpointId&, std::string_view change) = 0;
 
+    /// Keys of open transactions have been withdrawn, `pending` of them while a statement was pending.
+    virtual void keysWithdrawn(size_t transactions, size_t pending) = 0;
+
     /// Called when the number of open sessions has changed.
     virtual void sessionsChanged(size_t count) = 0;
 };
--- a/tests/Relay/RelayFleet.h
+++ b/tests/Relay/RelayFleet.h
@@ -89,6 +89,7 @@
         void sentToDraining(const StatementToDraining& sent) override { this->toDraining.push_back(sent); }
         void statementDone(bool, Duration) override { }
         void endpointChanged(const EndpointId&, std::string_view) override { }
+        void keysWithdrawn(size_t, size_t) override { }
         void sessionsChanged(size_t) override { }
 
         std::vector<FailedRelay> relays;
