Roll back transactions of a withdrawn key also after a pending statement

Cause: transactions with a pending statement were passed over when the version arrived, and SET and COMMIT did not check the key afterwards. Evidence: keys_withdrawn counts 27 transactions with a pending statement; 26 were committed late, and the 260 that rested were not.

Change: a withdrawn key is a reason that is checked when the directory changes and after each answer, as for a stop. Between two statements a transaction is either allowed or aborted, so no kind of statement needs a check of its own; that of reads and writes could not be reached any more and is removed.

CallerSessionTest/Key_WithdrawnWhileStatementIsPending_* and Key_WithdrawnWhileTransactionBegins_* failed before (9 checks).

--- a/src/Statements/CallerSession.cpp
+++ b/src/Statements/CallerSession.cpp
@@ -208,12 +208,6 @@
     return this->hasOpenTransaction() && !this->authorise(this->transaction->route, organisation);
 }
 
-void CallerSession::handleDirectoryChange()
-{
-    if (!this->isStatementPending && this->isKeyWithdrawn())
-        this->abortTransaction("the key has been withdrawn");
-}
-
 void CallerSession::closeIfIdle()
 {
     if (this->isStatementPending || this->transaction || !this->link)
--- a/src/Statements/CallerSession.h
+++ b/src/Statements/CallerSession.h
@@ -31,15 +31,13 @@
     void handleStatement(Statement) override;
     void handleDisconnect() override;
 
-    /// Rolls the open transaction back if the new directory no longer accepts the caller's key.
-    void handleDirectoryChange();
-
     /// Closes the session if no statement is pending and no transaction is open. A session that is still busy checks
     /// again after each answer while the service is closing sessions.
     void closeIfIdle();
 
-    /// Rolls the open transaction back if it must not go on. The caller gets the reason in answer to its next
-    /// statement. A transaction with a pending statement is checked again after the answer.
+    /// Rolls the open transaction back if it must not go on: the VM is stopping or the key is withdrawn. The caller
+    /// gets the reason in answer to its next statement. A transaction with a pending statement is checked again after
+    /// the answer.
     void checkTransaction();
 
     bool hasOpenTransaction() const { return this->transaction && !this->transaction->failed; }
--- a/src/Statements/CallerTransaction.cpp
+++ b/src/Statements/CallerTransaction.cpp
@@ -15,12 +15,6 @@
         this->refuseInFailedTransaction();
         return;
     }
-    OrganisationId organisation;
-    if (!open.route.isPublic && !this->authorise(open.route, organisation)) {
-        this->endTransaction(true);
-        this->refuse(AnswerCode::Unauthenticated, "the key has been withdrawn");
-        return;
-    }
     if (open.connection) {
         this->sendInTransaction(next);
         return;
@@ -238,6 +232,8 @@
 {
     if (this->service.endsTransactions())
         return "the proxy is stopping";
+    if (this->isKeyWithdrawn())
+        return "the key has been withdrawn";
     return {};
 }
 
--- a/src/Statements/StatementService.cpp
+++ b/src/Statements/StatementService.cpp
@@ -93,7 +93,7 @@
     for (CallerSession* session : all) {
         withdrawn += session->isKeyWithdrawn();
         pending += session->isKeyWithdrawn() && session->isBusy();
-        session->handleDirectoryChange();
+        session->checkTransaction();
     }
     if (withdrawn)
         this->trafficLog.keysWithdrawn(withdrawn, pending);
--- a/tests/Statements/CallerSessionTest.cpp
+++ b/tests/Statements/CallerSessionTest.cpp
@@ -368,6 +368,54 @@
     BOOST_TEST((inTransaction->last().code == AnswerCode::Aborted));
 }
 
+// Guards against a commit with a withdrawn key of a transaction that had a statement pending when the key was
+// withdrawn.
+BOOST_AUTO_TEST_CASE(Key_WithdrawnWhileStatementIsPending_TransactionIsRolledBack)
+{
+    for (const bool setsValues : { false, true }) {
+        auto caller = this->open("strong");
+        caller->send(StatementKind::Begin);
+        caller->send(StatementKind::Write, "WRITE x 1");
+        const auto keys = std::exchange(this->configuration.organisations[0].keys, {});
+        ++this->configuration.version;
+        this->publish();
+        this->settle();
+        BOOST_TEST((caller->last().code == AnswerCode::Done));
+        BOOST_TEST(this->connector.database("a").receivedStatements.back() == "rollback");
+        if (setsValues)
+            caller->send(StatementKind::SetValue, "1", "zone");
+        else
+            caller->send(StatementKind::Commit);
+        this->settle();
+        BOOST_TEST((caller->last().code == AnswerCode::Aborted));
+        if (setsValues)
+            caller->send(StatementKind::Commit);
+        this->settle();
+        BOOST_TEST((caller->last().code == AnswerCode::Aborted));
+        const auto& seen = this->connector.database("a").receivedStatements;
+        BOOST_TEST(std::count(seen.begin(), seen.end(), "commit") == 0);
+        this->configuration.organisations[0].keys = keys;
+        ++this->configuration.version;
+        this->publish();
+    }
+}
+
+// Guards against a commit with a withdrawn key of a transaction whose first statement is still being begun.
+BOOST_AUTO_TEST_CASE(Key_WithdrawnWhileTransactionBegins_NothingIsCommitted)
+{
+    auto caller = this->open("strong");
+    caller->send(StatementKind::Begin);
+    caller->send(StatementKind::Read, "READ x");
+    this->configuration.organisations[0].keys.clear();
+    ++this->configuration.version;
+    this->publish();
+    this->settle();
+    caller->send(StatementKind::Write, "WRITE x 1");
+    this->settle();
+    BOOST_TEST((caller->last().code == AnswerCode::Aborted));
+    BOOST_TEST(this->connector.database("a").receivedStatements.back() == "rollback");
+}
+
 // A connection is opened for the organisation of the caller's key and must never serve another organisation.
 BOOST_AUTO_TEST_CASE(Connection_OfAnotherOrganisation_IsNotUsed)
 {
