Answer the statements that are pending when a stop ends

Callers with a statement under way when a stopping VM ended its traffic lost their connection without an answer, so a write that had only waited for a connection looked like one that might have run.

Cause: shutDown retired the pools, which leaves connections with a pending statement alone, and the process ended before their answers.

Change: shutDown interrupts the pools and answers what is left. A write or commit that was sent is in doubt, everything else is not run. No group is found any more, so nothing is sent again.

CallerSessionTest/Stop_StatementsPendingAtItsEnd_*, Stop_CommitPendingAtItsEnd_* and Stop_StatementWaitsForPrimaryAtItsEnd_* failed before.

--- a/src/Statements/CallerOperation.cpp
+++ b/src/Statements/CallerOperation.cpp
@@ -417,6 +417,12 @@
     this->answer(final);
 }
 
+void CallerSession::refuseOperation(const std::string& reason)
+{
+    if (this->operation)
+        this->finishOperation({ AnswerCode::Busy, "", reason + "; retry at once on a new connection" }, reason);
+}
+
 void CallerSession::dropOperation()
 {
     if (!this->operation)
--- a/src/Statements/CallerSession.h
+++ b/src/Statements/CallerSession.h
@@ -40,6 +40,9 @@
     /// the answer.
     void checkTransaction();
 
+    /// Answers a statement that is waiting to be sent to an endpoint as not run.
+    void refuseOperation(const std::string& reason);
+
     bool hasOpenTransaction() const { return this->transaction && !this->transaction->failed; }
 
     /// True if the open transaction needs a key that is not valid any more.
--- a/src/Statements/GroupTraffic.cpp
+++ b/src/Statements/GroupTraffic.cpp
@@ -216,12 +216,12 @@
         callback();
 }
 
-void GroupTraffic::interruptIf(const std::function<bool(const RegisteredEndpoint&)>& selects)
+void GroupTraffic::interruptIf(const std::function<bool(const RegisteredEndpoint&)>& selects, const std::string& reason)
 {
     const auto all = this->members;
     for (const auto& [id, member] : all) {
         if (selects(member.pool->endpoint()))
-            member.pool->interrupt("the endpoint is being replaced as the primary");
+            member.pool->interrupt(reason);
     }
 }
 
--- a/src/Statements/GroupTraffic.h
+++ b/src/Statements/GroupTraffic.h
@@ -57,8 +57,8 @@
     /// Earliest time at which a new primary is expected. Set when a promotion has been ordered.
     std::optional<Instant> primaryExpectedAt;
 
-    /// Interrupts the pools of the endpoints that the predicate selects, because they are being replaced as primary.
-    void interruptIf(const std::function<bool(const RegisteredEndpoint&)>&);
+    /// Interrupts the pools of the endpoints that the predicate selects.
+    void interruptIf(const std::function<bool(const RegisteredEndpoint&)>&, const std::string& reason);
 
     void retireAll();
 
--- a/src/Statements/StatementService.cpp
+++ b/src/Statements/StatementService.cpp
@@ -147,9 +147,10 @@
 {
     this->listener.primaryRevoked(revocation);
     if (GroupTraffic* group = this->findGroup(revocation.group)) {
-        group->interruptIf([&revocation](const RegisteredEndpoint& endpoint) {
-            return revocation.applies(endpoint.id, endpoint.address);
-        });
+        group->interruptIf(
+            [&revocation](
+                const RegisteredEndpoint& endpoint) { return revocation.applies(endpoint.id, endpoint.address); },
+            "the endpoint is being replaced as the primary");
     }
     this->checkIsolation();
 }
@@ -179,9 +180,15 @@
 
 void StatementService::shutDown()
 {
-    for (auto& [name, group] : this->groups)
+    // No group is found from here on, so that nothing is sent again.
+    const auto ended = std::exchange(this->groups, {});
+    for (const auto& [name, group] : ended) {
+        group->interruptIf([](const RegisteredEndpoint&) { return true; }, "the proxy is stopping");
         group->retireAll();
-    this->groups.clear();
+    }
+    const auto all = this->sessions;
+    for (CallerSession* session : all)
+        session->refuseOperation("the proxy is stopping");
     this->relay.shutDown();
 }
 
--- a/src/Statements/StatementService.h
+++ b/src/Statements/StatementService.h
@@ -148,7 +148,8 @@
     /// True after `abortTransactions`.
     bool endsTransactions() const { return this->isEndingTransactions; }
 
-    /// Closes all connections to endpoints.
+    /// Closes all connections to endpoints. Pending statements are answered as in doubt if they may have run, otherwise
+    /// as not run.
     void shutDown();
 
     /// True if sessions should be closed as soon as they are idle.
--- a/tests/Statements/CallerSessionTest.cpp
+++ b/tests/Statements/CallerSessionTest.cpp
@@ -569,6 +569,62 @@
     }
 }
 
+// Guards against statements without an answer at the end of a stop: one that was sent to an endpoint, and one that
+// waits for a connection.
+BOOST_AUTO_TEST_CASE(Stop_StatementsPendingAtItsEnd_AreAnswered)
+{
+    this->configuration.groups[0].connectionsPerEndpoint = 1;
+    this->publish();
+    auto sent = this->open("strong");
+    auto waiting = this->open("strong");
+    this->connector.database("a").silent = true;
+    sent->send(StatementKind::Write, "WRITE x 1");
+    waiting->send(StatementKind::Write, "WRITE y 1");
+    this->settle();
+    BOOST_TEST(sent->answers.empty());
+    BOOST_TEST(waiting->answers.empty());
+    this->service->closeIdleSessions();
+    this->service->shutDown();
+    BOOST_REQUIRE(sent->answers.size() == 1U);
+    BOOST_TEST((sent->last().code == AnswerCode::InDoubt));
+    BOOST_TEST(sent->closed);
+    BOOST_REQUIRE(waiting->answers.size() == 1U);
+    BOOST_TEST((waiting->last().code == AnswerCode::Busy));
+    BOOST_TEST(waiting->closed);
+}
+
+// Guards against a commit that has been sent and is not answered at the end of a stop, or is answered as not run.
+BOOST_AUTO_TEST_CASE(Stop_CommitPendingAtItsEnd_IsInDoubt)
+{
+    auto caller = this->open("strong");
+    caller->send(StatementKind::Begin);
+    caller->send(StatementKind::Write, "WRITE x 1");
+    this->settle();
+    this->connector.database("a").silent = true;
+    caller->send(StatementKind::Commit);
+    this->settle();
+    this->service->closeIdleSessions();
+    this->service->shutDown();
+    BOOST_REQUIRE(caller->answers.size() == 3U);
+    BOOST_TEST((caller->last().code == AnswerCode::InDoubt));
+    BOOST_TEST(caller->closed);
+}
+
+// Guards against a statement that waits for a primary when the stop ends, and is not answered.
+BOOST_AUTO_TEST_CASE(Stop_StatementWaitsForPrimaryAtItsEnd_IsRefusedAsNotRun)
+{
+    auto caller = this->open("strong");
+    this->connector.database("a").refuseConnections = true;
+    caller->send(StatementKind::Write, "WRITE x 1");
+    this->settle();
+    BOOST_TEST(caller->answers.empty());
+    this->service->closeIdleSessions();
+    this->service->shutDown();
+    BOOST_REQUIRE(caller->answers.size() == 1U);
+    BOOST_TEST((caller->last().code == AnswerCode::Busy));
+    BOOST_TEST(caller->closed);
+}
+
 // A VM that reaches no primary must close its sessions, so that callers reconnect to other VMs. It must accept callers
 // again once it reaches a primary.
 BOOST_AUTO_TEST_CASE(Stop_VmIsIsolated_SessionsCloseUntilPrimaryIsReachable)
