--- a/src/Runtime/StreamSocket.cpp
+++ b/src/Runtime/StreamSocket.cpp
@@ -29,6 +29,13 @@
     return error ? std::string() : formatAddress(peer);
 }
 
+bool StreamSocket::hasUnreadBytes() const
+{
+    error_code error;
+    const size_t count = this->socket.available(error);
+    return !error && count > 0;
+}
+
 void StreamSocket::start()
 {
     this->connectionEstablished = true;
--- a/src/Runtime/StreamSocket.h
+++ b/src/Runtime/StreamSocket.h
@@ -36,6 +36,9 @@
 
     bool isConnected() const { return this->connectionEstablished; }
 
+    /// True if bytes have arrived that have not been read. Closing the connection then resets it. Costs a system call.
+    bool hasUnreadBytes() const;
+
 protected:
     /// Called with received bytes, which are valid during the call only.
     virtual void handleBytes(std::string_view) = 0;
