Ask the other VMs before every unplanned promotion, and for the term

Cause: a VM that finds no primary in the registry, because it was cut off while one was promoted, ordered a promotion without asking the others, and chose the best of the replicas that answered it, which may be a former primary whose log ends in an earlier term. Evidence: the order of 13.623 s has no primary_unreachable before it, and names the primary of the first term while that of the third one serves.

Change: the others are asked also if no primary is known, and answer for whatever endpoint they take for the primary. Their answers carry the newest term in which a primary has answered; a replica that does not know that term is not promoted for 10 s. An order that is repeated within its lease needs no new agreement.

Why it works: a VM that missed a promotion has the answers of a majority before it can order, and the term excludes a log that the promotion cut off, whichever replica answers first.

--- a/src/Fleet/EntryDaemon.cpp
+++ b/src/Fleet/EntryDaemon.cpp
@@ -214,8 +214,8 @@
             this->service.pollReachability(
                 effect.group, effect.endpoint, [this, effect, callback](ReachabilityCounts counts) {
                     this->postToControl(callback,
-                        ReachabilityPolled {
-                            effect.group, effect.attempt, counts.asked, counts.reachable, counts.unreachable });
+                        ReachabilityPolled { effect.group, effect.attempt, counts.asked, counts.reachable,
+                            counts.unreachable, counts.newestTerm });
                 });
         });
     }
--- a/src/Peers/PeerMessages.cpp
+++ b/src/Peers/PeerMessages.cpp
@@ -58,7 +58,7 @@
     Json operator()(const ReachabilityReply& message) const
     {
         return { ReachabilityReplyKind, message.requestId, message.endpoint.str(),
-            static_cast<uint64_t>(message.reachability) };
+            static_cast<uint64_t>(message.reachability), message.newestTerm };
     }
     Json operator()(const PromotionNotice& message) const
     {
@@ -149,8 +149,9 @@
         const uint64_t reachability = numberAt(json, 3);
         if (reachability > static_cast<uint64_t>(Reachability::Unreachable))
             return std::nullopt;
+        // The last field is missing in messages of earlier versions.
         return ReachabilityReply { numberAt(json, 1), EndpointId(stringAt(json, 2)),
-            static_cast<Reachability>(reachability) };
+            static_cast<Reachability>(reachability), json.size() > 4 ? numberAt(json, 4) : 0 };
     }
     case PromotionNoticeKind:
         return PromotionNotice { GroupId(stringAt(json, 1)), EndpointId(stringAt(json, 2)), millisecondsAt(json, 3) };
--- a/src/Peers/PeerMessages.h
+++ b/src/Peers/PeerMessages.h
@@ -39,11 +39,11 @@
     Unreachable,
 };
 
-/// Asks another VM whether it can reach an endpoint.
+/// Asks another VM whether it can reach the primary of a group.
 struct ReachabilityRequest {
     uint64_t requestId = 0;
     GroupId group;
-    EndpointId endpoint;
+    EndpointId endpoint; ///< the primary that the sender knows; empty if it knows none
 
     friend bool operator==(const ReachabilityRequest&, const ReachabilityRequest&) = default;
 };
@@ -51,8 +51,10 @@
 /// Answers a ReachabilityRequest.
 struct ReachabilityReply {
     uint64_t requestId = 0;
-    EndpointId endpoint;
+    EndpointId endpoint; ///< as in the request
+    /// Whether the VM can reach that endpoint or another one that it takes for the primary.
     Reachability reachability = Reachability::Unknown;
+    uint64_t newestTerm = 0; ///< newest term in which a primary has answered the VM; 0 if none has
 
     friend bool operator==(const ReachabilityReply&, const ReachabilityReply&) = default;
 };
--- a/src/Promotion/PromotionCoordinator.cpp
+++ b/src/Promotion/PromotionCoordinator.cpp
@@ -214,6 +214,8 @@
             // The registry shows no primary between a step-down and the promotion, or shows the old one again; that
             // must not end the attempt.
             if (!primary.empty() && !group.isRevoked(primary)) {
+                group.replacingSince.reset();
+                group.keepsLease = false;
                 group.hasUnconfirmedOrder = false;
                 group.unansweredOrders = 0;
                 group.phase = Phase::Idle;
@@ -260,6 +262,8 @@
     if (found == this->groups.end() || found->second.primary != event.endpoint)
         return {};
     found->second.primaryUnreachable = !event.reachable;
+    if (event.reachable)
+        found->second.replacingSince.reset();
     return this->scheduleIfNeeded(found->second, now);
 }
 
@@ -299,8 +303,12 @@
     group.oldPrimary = group.primary;
     group.oldPrimaryIsLeaving = !group.primaryUnreachable && !group.primary.empty();
     group.finalPosition.reset();
-    if (group.oldPrimaryIsLeaving || group.primary.empty())
+    group.replacingSince = group.replacingSince.value_or(now);
+    // The others agreed before an order that this VM repeats.
+    const bool repeatsOrder = group.keepsLease && group.primary.empty() && now < group.leaseExpiry;
+    if (group.oldPrimaryIsLeaving || repeatsOrder)
         return this->readLease(group, now);
+    // The others are asked also if this VM knows no primary: it may have missed a promotion.
     group.phase = Phase::PollingPeers;
     return { PollReachability { group.name, group.attempt, group.primary } };
 }
@@ -314,7 +322,9 @@
         return {};
     const std::string counts = std::to_string(event.unreachable + 1) + " of " + std::to_string(event.asked + 1)
         + " VMs cannot reach the primary, " + std::to_string(event.reachable) + " can";
-    if (2 * (event.unreachable + 1) <= event.asked + 1 || !group->primaryUnreachable)
+    group->newestTerm = std::max(group->newestTerm, event.newestTerm);
+    const bool isReachable = !group->primary.empty() && !group->primaryUnreachable;
+    if (2 * (event.unreachable + 1) <= event.asked + 1 || isReachable)
         return this->retryLater(*group, now, counts);
     Effects effects = this->readLease(*group, now);
     effects.insert(effects.begin(), LogPromotionStep { group->name, "primary_unreachable", counts });
@@ -480,6 +490,14 @@
     return { QueryEndpointStatuses { group.name, group.attempt, std::move(endpoints) } };
 }
 
+// A replica that does not know the newest term lacks the commits of that term, and may hold commits that were discarded
+// when it began. Without another replica it is promoted in the end, so that the group does not stay without a primary.
+bool PromotionCoordinator::isOutdated(const Group& group, const EndpointStatus& status, Instant now) const
+{
+    const bool mayWait = group.replacingSince && now < *group.replacingSince + this->settings.outdatedReplicaTimeout;
+    return !group.oldPrimaryIsLeaving && mayWait && status.term < group.newestTerm;
+}
+
 // An acknowledged commit is stored on at least `synchronousReplicas` replicas. The most advanced replica that answered
 // is certain to hold it only if fewer than that many replicas did not answer.
 bool PromotionCoordinator::mayLackAcknowledgedCommit(const Group& group, size_t answeredReplicas) const
@@ -532,6 +550,10 @@
         primary = old->second;
         replicas.erase(old);
     }
+    const size_t outdated = std::erase_if(
+        replicas, [this, &group, now](const auto& replica) { return this->isOutdated(group, replica.second, now); });
+    if (outdated && replicas.empty())
+        return this->retryLater(group, now, "the replicas that answered do not know the newest term");
     const auto best = this->chooseReplica(group, replicas);
     if (!best)
         return this->retryLater(group, now, "no replica answered the status query");
--- a/src/Promotion/PromotionCoordinator.h
+++ b/src/Promotion/PromotionCoordinator.h
@@ -35,6 +35,9 @@
     /// Number of consecutive orders without an answer after which a VM lets its lease expire. Its orders may not
     /// arrive.
     uint32_t maxUnansweredOrders = 4;
+    /// Time after the first attempt to replace a primary from which on a replica is promoted that does not know the
+    /// newest term, because no other one answers.
+    Duration outdatedReplicaTimeout = std::chrono::seconds(10);
     /// Delay before a new attempt after a failed step or a reachability poll without a majority.
     Duration retryDelay = std::chrono::milliseconds(300);
     /// Interval at which replicas are queried while they catch up with a primary that has stepped down.
@@ -121,6 +124,8 @@
         bool hasUnconfirmedOrder = false; ///< an order for `promotedEndpoint` may still be executed
         uint32_t unansweredOrders = 0; ///< consecutive orders of this VM without an answer
         bool keepsLease = false; ///< this VM renews its lease and orders again
+        uint64_t newestTerm = 0; ///< newest term known to this VM or reported by others
+        std::optional<Instant> replacingSince; ///< first attempt since the primary was last reachable
 
         /// Returns true if the endpoint must not be used as the primary any more.
         bool isRevoked(const EndpointId&) const;
@@ -161,6 +166,7 @@
     Effects readLease(Group&, Instant now);
     Duration leaseLifetime() const;
     Effects queryStatuses(Group&);
+    bool isOutdated(const Group&, const EndpointStatus&, Instant now) const;
     bool mayLackAcknowledgedCommit(const Group&, size_t answeredReplicas) const;
     Effects orderPromotion(Group&, const EndpointId&, Instant now);
     Effects retryLater(Group&, Instant now, const std::string& reason);
--- a/src/Promotion/PromotionMessages.h
+++ b/src/Promotion/PromotionMessages.h
@@ -46,6 +46,7 @@
     uint32_t asked = 0;
     uint32_t reachable = 0;
     uint32_t unreachable = 0;
+    uint64_t newestTerm = 0; ///< newest term of the group that another VM has reported; 0 if none is known
 };
 
 /// Result of ReadLease.
@@ -129,11 +130,11 @@
 
 // Effects.
 
-/// Asks other VMs whether they can reach the endpoint.
+/// Asks other VMs whether they can reach the primary.
 struct PollReachability {
     GroupId group;
     uint64_t attempt = 0;
-    EndpointId endpoint;
+    EndpointId endpoint; ///< the primary that this VM knows; empty if it knows none
 };
 
 /// Reads the lease row of a group.
--- a/src/Statements/GroupTraffic.cpp
+++ b/src/Statements/GroupTraffic.cpp
@@ -202,6 +202,23 @@
     return Reachability::Unknown;
 }
 
+Reachability GroupTraffic::primaryReachability(const EndpointId& asked, Instant now)
+{
+    const auto known = this->primary();
+    if (known && known->endpoint().id != asked) {
+        const Reachability other = this->reachability(known->endpoint().id, now);
+        if (other != Reachability::Unreachable)
+            return other;
+    }
+    return asked.empty() ? Reachability::Unreachable : this->reachability(asked, now);
+}
+
+uint64_t GroupTraffic::newestTerm() const
+{
+    const auto newest = this->freshnessLog.newestPosition();
+    return newest ? newest->term.counter : 0;
+}
+
 uint64_t GroupTraffic::addChangeCallback(std::function<void()> callback)
 {
     this->changeCallbacks.emplace(++this->lastCallbackId, std::move(callback));
--- a/src/Statements/GroupTraffic.h
+++ b/src/Statements/GroupTraffic.h
@@ -66,6 +66,12 @@
     /// and a probe is started.
     Reachability reachability(const EndpointId&, Instant now);
 
+    /// The same for the primary: `asked`, or another endpoint that this VM takes for the primary.
+    Reachability primaryReachability(const EndpointId& asked, Instant now);
+
+    /// Newest term in which a primary has answered this VM; 0 if none has.
+    uint64_t newestTerm() const;
+
 private:
     struct Member {
         std::shared_ptr<EndpointPool> pool;
--- a/src/Statements/ReachabilityPoll.cpp
+++ b/src/Statements/ReachabilityPoll.cpp
@@ -1,5 +1,6 @@
 #include "Statements/ReachabilityPoll.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace Lavendervane {
@@ -68,6 +69,7 @@
     if (answer == found->second.answers.end())
         return;
     answer->second = reply.reachability;
+    found->second.newestTerm = std::max(found->second.newestTerm, reply.newestTerm);
     this->finishIfDecided(reply.requestId, false);
 }
 
@@ -75,6 +77,7 @@
 {
     const auto found = this->polls.find(pollId);
     ReachabilityCounts counts;
+    counts.newestTerm = found->second.newestTerm;
     counts.asked = static_cast<uint32_t>(found->second.answers.size());
     for (const auto& [address, answer] : found->second.answers) {
         counts.reachable += answer == Reachability::Reachable;
--- a/src/Statements/ReachabilityPoll.h
+++ b/src/Statements/ReachabilityPoll.h
@@ -27,9 +27,10 @@
     uint32_t asked = 0;
     uint32_t reachable = 0;
     uint32_t unreachable = 0;
+    uint64_t newestTerm = 0; ///< newest term of the group that a VM has reported
 };
 
-/// Asks other VMs whether they reach an endpoint, until a majority has agreed or all rounds are over.
+/// Asks other VMs whether they reach the primary of a group, until a majority has agreed or all rounds are over.
 class ReachabilityPoll {
 public:
     using Callback = std::function<void(ReachabilityCounts)>;
@@ -43,7 +44,8 @@
     void setPeers(const std::vector<FleetMember>&);
     const std::vector<std::string>& peers() const { return this->addresses; }
 
-    /// Starts a poll. The callback is called once, unless this object is destroyed first.
+    /// Starts a poll. The endpoint is the primary that this VM knows, empty if it knows none. The callback is called
+    /// once, unless this object is destroyed first.
     void start(const GroupId&, const EndpointId&, Callback);
 
     void handleReply(const std::string& sender, const ReachabilityReply&);
@@ -53,6 +55,7 @@
         GroupId group;
         EndpointId endpoint;
         std::map<std::string, Reachability> answers; ///< answer of each VM, by its address
+        uint64_t newestTerm = 0;
         uint32_t round = 0;
         Callback callback;
         Timers::Handle timer;
--- a/src/Statements/StatementService.cpp
+++ b/src/Statements/StatementService.cpp
@@ -218,9 +218,12 @@
         this->requestAdmission.handleTokenReply(sender, *reply);
     } else if (const auto* question = std::get_if<ReachabilityRequest>(&message)) {
         GroupTraffic* group = this->findGroup(question->group);
-        const auto reachability
-            = group ? group->reachability(question->endpoint, this->clock.now()) : Reachability::Unknown;
-        this->peers.send(sender, ReachabilityReply { question->requestId, question->endpoint, reachability });
+        ReachabilityReply reply { question->requestId, question->endpoint, Reachability::Unknown, 0 };
+        if (group) {
+            reply.reachability = group->primaryReachability(question->endpoint, this->clock.now());
+            reply.newestTerm = group->newestTerm();
+        }
+        this->peers.send(sender, reply);
     } else if (const auto* answer = std::get_if<ReachabilityReply>(&message)) {
         this->reachabilityPoll.handleReply(sender, *answer);
     } else if (const auto* notice = std::get_if<PromotionNotice>(&message)) {
