Log why connections to endpoints break and why messages of callers are refused

The reason for which a connection to an endpoint was given up was dropped, and a caller that was disconnected for what it had sent left no trace. A message that was split, an answer without a question and an error of the network all read "the connection broke". New lines endpoint_connection_broke and message_refused, each with a counter; the reason also stands in statement_failed and relay_failed. Callers are told what they were told before; nothing is decided on it.

RelayTest compares the reason that the owner logs: it names the cause now, and the test the whole text as before.

--- a/src/Fleet/EntryDaemon.cpp
+++ b/src/Fleet/EntryDaemon.cpp
@@ -117,6 +117,20 @@
         this->log.write("endpoint_" + std::string(change), { { "endpoint", endpoint.str() } });
     }
 
+    void connectionBroke(const BrokenConnection& broken) override
+    {
+        this->metrics.connectionBroke(broken.statementPending);
+        this->log.write("endpoint_connection_broke",
+            { { "endpoint", broken.endpoint.str() }, { "organisation", broken.organisation.str() },
+                { "statement_pending", broken.statementPending ? "true" : "false" }, { "reason", broken.reason } });
+    }
+
+    void messageRefused(const std::string& database, const std::string& reason) override
+    {
+        this->metrics.messageRefused();
+        this->log.write("message_refused", { { "database", database }, { "reason", reason } });
+    }
+
     void keysWithdrawn(size_t transactions, size_t pending) override
     {
         this->log.write("keys_withdrawn",
--- a/src/Metrics/SessionMetrics.cpp
+++ b/src/Metrics/SessionMetrics.cpp
@@ -29,6 +29,15 @@
                               .Name("lavendervane_endpoint_changes_total")
                               .Help("Endpoints that became reachable or unreachable from this VM")
                               .Register(registry))
+        , brokenConnections(BuildCounter()
+                                .Name("lavendervane_endpoint_connections_broken_total")
+                                .Help("Open connections to endpoints that failed, by whether a statement was pending")
+                                .Register(registry))
+        , refusedMessages(BuildCounter()
+                              .Name("lavendervane_messages_refused_total")
+                              .Help("Messages of callers that are not part of the protocol")
+                              .Register(registry)
+                              .Add({}))
         , promotions(BuildCounter()
                          .Name("lavendervane_promotion_orders_total")
                          .Help("Orders to promote by this VM, by result")
@@ -71,6 +80,8 @@
     Family<Counter>& statements;
     Family<Counter>& servedStatements;
     Family<Counter>& endpointChanges;
+    Family<Counter>& brokenConnections;
+    Counter& refusedMessages;
     Family<Counter>& promotions;
     Family<Counter>& feedRechecks;
     Counter& drainingStatements;
@@ -110,6 +121,13 @@
     this->families->endpointChanges.Add({ { "change", std::string(change) } }).Increment();
 }
 
+void SessionMetrics::connectionBroke(bool statementPending)
+{
+    this->families->brokenConnections.Add({ { "statement_pending", statementPending ? "true" : "false" } }).Increment();
+}
+
+void SessionMetrics::messageRefused() { this->families->refusedMessages.Increment(); }
+
 void SessionMetrics::sentToDraining() { this->families->drainingStatements.Increment(); }
 
 void SessionMetrics::setSessions(size_t count) { this->families->sessions.Set(static_cast<double>(count)); }
--- a/src/Metrics/SessionMetrics.h
+++ b/src/Metrics/SessionMetrics.h
@@ -29,6 +29,12 @@
     /// Counts an endpoint that became reachable or unreachable. `change` is "reachable" or "unreachable".
     void endpointChanged(std::string_view change);
 
+    /// Counts an open connection to an endpoint that has failed.
+    void connectionBroke(bool statementPending);
+
+    /// Counts a message of a caller that was refused because it is not part of the protocol.
+    void messageRefused();
+
     /// Counts a statement that was passed on to an endpoint that is leaving.
     void sentToDraining();
 
--- a/src/Relay/PooledLink.cpp
+++ b/src/Relay/PooledLink.cpp
@@ -160,7 +160,7 @@
     if (!result.hasAnswers()) {
         this->connection.reset();
         this->fail(LinkFailure::Broken, AnswerCode::Busy,
-            result.timedOut ? "the endpoint did not answer in time" : "the connection to the endpoint broke");
+            result.timedOut ? "the endpoint did not answer in time" : result.describeFailure());
         return;
     }
     std::vector<EndpointAnswer>& answers = result.answers;
--- a/src/Statements/CallerLink.h
+++ b/src/Statements/CallerLink.h
@@ -36,6 +36,9 @@
 
     virtual void handleStatement(Statement) = 0;
 
+    /// Called when a message of the caller is not part of the protocol, before the connection is closed.
+    virtual void handleRefusedMessage(const std::string& reason) = 0;
+
     /// Called when the caller has disconnected. No answer may be sent to the link after this call.
     virtual void handleDisconnect() = 0;
 };
--- a/src/Statements/CallerOperation.cpp
+++ b/src/Statements/CallerOperation.cpp
@@ -311,15 +311,15 @@
     if (!result.hasAnswers()) {
         running.mayHaveRun = true;
         if (running.writes) {
-            const std::string reason = result.timedOut ? "no answer in time" : "the connection broke";
-            this->finishOperation({ AnswerCode::InDoubt, "", reason }, reason);
+            const std::string message = result.timedOut ? "no answer in time" : "the connection broke";
+            this->finishOperation({ AnswerCode::InDoubt, "", message }, result.describeFailure());
             return;
         }
         // The read may have run. Repeating it counts against the organisation's limit as well.
         if (!running.organisation.empty())
             this->service.shares().chargeRepeat(running.organisation, this->service.timers().now());
         running.triedEndpoints.push_back(running.pool->endpoint().id);
-        this->retry(AnswerCode::Busy, "the connection broke", {});
+        this->retry(AnswerCode::Busy, result.describeFailure(), {});
         return;
     }
     const EndpointAnswer reply = std::move(result.answers.back());
--- a/src/Statements/CallerSession.cpp
+++ b/src/Statements/CallerSession.cpp
@@ -105,6 +105,11 @@
     }
 }
 
+void CallerSession::handleRefusedMessage(const std::string& reason)
+{
+    this->service.log().messageRefused(this->database, reason);
+}
+
 void CallerSession::setValue(const Statement& set)
 {
     if (this->transaction && this->transaction->failed) {
--- a/src/Statements/CallerSession.h
+++ b/src/Statements/CallerSession.h
@@ -29,6 +29,7 @@
 
     void openSession(const std::string& database, const std::string& key) override;
     void handleStatement(Statement) override;
+    void handleRefusedMessage(const std::string& reason) override;
     void handleDisconnect() override;
 
     /// Closes the session if no statement is pending and no transaction is open. A session that is still busy checks
--- a/src/Statements/CallerTransaction.cpp
+++ b/src/Statements/CallerTransaction.cpp
@@ -53,7 +53,7 @@
             Operation& running = *self->operation;
             if (!result.hasAnswers()) {
                 running.triedEndpoints.push_back(running.pool->endpoint().id);
-                self->retry(AnswerCode::Aborted, "the connection broke", {});
+                self->retry(AnswerCode::Aborted, result.describeFailure(), {});
                 return;
             }
             const EndpointAnswer& reply = result.answers.back();
@@ -107,9 +107,9 @@
         // The database rolls the transaction back when its connection is closed.
         open.connection.reset();
         open.failed = true;
-        const std::string reason = result.timedOut ? "no answer in time" : "the connection broke";
-        CallerAnswer reply { AnswerCode::Aborted, "", reason, TransactionState::Failed };
-        this->logFailure(reply, reason);
+        const std::string message = result.timedOut ? "no answer in time" : "the connection broke";
+        CallerAnswer reply { AnswerCode::Aborted, "", message, TransactionState::Failed };
+        this->logFailure(reply, result.describeFailure());
         this->answer(reply);
         return;
     }
@@ -168,10 +168,10 @@
     const RegisteredEndpoint endpoint = this->transaction->endpoint;
     if (!result.hasAnswers()) {
         this->endTransaction(false);
-        const std::string reason = result.timedOut ? "no answer to the commit in time" : "the connection broke";
+        const std::string message = result.timedOut ? "no answer to the commit in time" : "the connection broke";
         // A transaction without writes has no effect that could be in doubt.
-        CallerAnswer reply { wrote ? AnswerCode::InDoubt : AnswerCode::Aborted, "", reason };
-        this->logFailure(reply, reason);
+        CallerAnswer reply { wrote ? AnswerCode::InDoubt : AnswerCode::Aborted, "", message };
+        this->logFailure(reply, result.describeFailure());
         this->answer(reply);
         return;
     }
--- a/src/Statements/EndpointPool.cpp
+++ b/src/Statements/EndpointPool.cpp
@@ -102,7 +102,7 @@
     this->failWaiters(reason);
     const auto all = this->connections;
     for (const auto& connection : all)
-        connection->closeWithoutAnswer();
+        connection->closeWithoutAnswer(reason);
 }
 
 void EndpointPool::retire()
@@ -295,6 +295,11 @@
         this->scheduleRetry();
 }
 
+void EndpointPool::reportBroken(const PooledConnection& connection, bool statementPending, const std::string& reason)
+{
+    this->observer.connectionBroke({ this->target.id, connection.organisation(), statementPending, reason });
+}
+
 void EndpointPool::remove(const PooledConnection& connection)
 {
     std::erase_if(this->connections, [&connection](const auto& entry) { return entry.get() == &connection; });
@@ -331,7 +336,7 @@
     for (const auto& connection : all) {
         if (connection->state == PooledConnection::State::Waiting
             && connection->stateChangeTime > this->lastContactTime)
-            connection->closeWithoutAnswer();
+            connection->closeWithoutAnswer("the host does not accept new connections");
         else if (connection->state == PooledConnection::State::Idle)
             connection->close();
     }
--- a/src/Statements/EndpointPool.h
+++ b/src/Statements/EndpointPool.h
@@ -3,6 +3,7 @@
 #include "Core/Instant.h"
 #include "Fleet/Directory.h"
 #include "Runtime/Timers.h"
+#include "Statements/BrokenConnection.h"
 #include "Statements/EndpointLink.h"
 #include "Statements/PooledConnection.h"
 
@@ -46,11 +47,14 @@
 
 using AcquireCallback = std::function<void(AcquireResult)>;
 
-/// Receives changes of whether an endpoint is reachable from this VM.
+/// Receives changes of whether an endpoint is reachable from this VM, and of its connections.
 class EndpointObserver {
 public:
     virtual ~EndpointObserver() = default;
     virtual void endpointReachabilityChanged(const EndpointId&, bool reachable) = 0;
+
+    /// An open connection has failed, or was given up because of what the endpoint sent.
+    virtual void connectionBroke(const BrokenConnection&) = 0;
 };
 
 /// Connections of this VM to one endpoint. Each connection is opened for one organisation. If this VM has reached its
@@ -131,6 +135,7 @@
     void handleConnectionOpened(PooledConnection&);
     void handleConnectionFailed(
         PooledConnection&, LinkFailure, AnswerCode, const std::string& message, bool whileOpening);
+    void reportBroken(const PooledConnection&, bool statementPending, const std::string& reason);
     void remove(const PooledConnection&);
     void failWaiters(const std::string& reason);
     void setReachable(bool);
--- a/src/Statements/PooledConnection.cpp
+++ b/src/Statements/PooledConnection.cpp
@@ -8,6 +8,13 @@
 
 namespace Lavendervane {
 
+std::string ExchangeResult::describeFailure() const
+{
+    if (this->timedOut)
+        return "no answer in time";
+    return this->failure.empty() ? "the connection broke" : "the connection broke: " + this->failure;
+}
+
 PooledConnection::PooledConnection(EndpointPool& pool, Timers& timers, OrganisationId organisation)
     : owningPool(&pool)
     , timers(timers)
@@ -57,7 +64,7 @@
             auto unanswered = std::exchange(this->callback, nullptr);
             this->close();
             if (unanswered)
-                unanswered({ {}, true });
+                unanswered({ {}, true, "" });
             return;
         }
         this->scheduleTimeout(deadline);
@@ -66,11 +73,11 @@
     });
 }
 
-void PooledConnection::closeWithoutAnswer()
+void PooledConnection::closeWithoutAnswer(const std::string& reason)
 {
     const auto self = this->shared_from_this();
     this->close();
-    this->completeExchange({});
+    this->completeExchange({ {}, false, reason });
 }
 
 static bool isSubset(const std::map<std::string, std::string>& part, const std::map<std::string, std::string>& whole)
@@ -142,6 +149,8 @@
 {
     if (this->state != State::Waiting) {
         // Unsolicited data must not be taken for the answer to the next statement.
+        if (this->owningPool)
+            this->owningPool->reportBroken(*this, false, "the endpoint answered without a question");
         this->close();
         return;
     }
@@ -150,7 +159,7 @@
     if (std::any_of(
             answers.begin(), prepared, [](const EndpointAnswer& answer) { return answer.code != AnswerCode::Done; })) {
         // The remaining statements ran without the session's values, and the values of the connection are now unknown.
-        this->closeWithoutAnswer();
+        this->closeWithoutAnswer("the endpoint refused to set the connection up");
         return;
     }
     this->cancelTimer();
@@ -161,18 +170,19 @@
         if (answers.back().position)
             this->owningPool->recordPosition(*answers.back().position);
     }
-    this->completeExchange({ std::move(answers), false });
+    this->completeExchange({ std::move(answers), false, "" });
 }
 
 void PooledConnection::linkFailed(LinkFailure failure, AnswerCode code, const std::string& message)
 {
     const auto self = this->shared_from_this();
-    const bool opening = this->state == State::Opening;
-    this->state = State::Closed;
+    const State previous = std::exchange(this->state, State::Closed);
     this->cancelTimer();
+    if (this->owningPool && previous != State::Opening)
+        this->owningPool->reportBroken(*this, previous == State::Waiting, message);
     if (this->owningPool)
-        this->owningPool->handleConnectionFailed(*this, failure, code, message, opening);
-    this->completeExchange({});
+        this->owningPool->handleConnectionFailed(*this, failure, code, message, previous == State::Opening);
+    this->completeExchange({ {}, false, message });
 }
 
 void PooledConnection::completeExchange(ExchangeResult result)
--- a/src/Statements/PooledConnection.h
+++ b/src/Statements/PooledConnection.h
@@ -20,8 +20,12 @@
 struct ExchangeResult {
     std::vector<EndpointAnswer> answers;
     bool timedOut = false;
+    std::string failure; ///< why the connection broke, for logs; empty if unknown
 
     bool hasAnswers() const { return !this->answers.empty(); }
+
+    /// Describes why there are no answers, for logs.
+    std::string describeFailure() const;
 };
 
 using ExchangeCallback = std::function<void(ExchangeResult)>;
@@ -80,7 +84,7 @@
     void scheduleTimeout(Instant deadline);
 
     /// Closes the connection and reports the pending exchange as unanswered.
-    void closeWithoutAnswer();
+    void closeWithoutAnswer(const std::string& reason);
     void cancelTimer();
 
     EndpointPool* owningPool;
--- a/src/Statements/StatementService.h
+++ b/src/Statements/StatementService.h
@@ -169,6 +169,7 @@
 
 private:
     void endpointReachabilityChanged(const EndpointId&, bool reachable) override;
+    void connectionBroke(const BrokenConnection& broken) override { this->trafficLog.connectionBroke(broken); }
     void primaryLeaseChanged() override;
     void primaryRevoked(const PrimaryRevocation&) override;
     bool canUsePrimary(const GroupTraffic&) const;
--- a/src/Statements/TrafficLog.h
+++ b/src/Statements/TrafficLog.h
@@ -2,6 +2,7 @@
 
 #include "Core/Identifiers.h"
 #include "Core/Instant.h"
+#include "Statements/BrokenConnection.h"
 #include "Statements/StatementAnswer.h"
 
 #include <string>
@@ -51,6 +52,10 @@
     virtual void statementDone(bool atReplica, Duration duration) = 0;
     virtual void sentToDraining(const StatementToDraining&) = 0;
     virtual void endpointChanged(const EndpointId&, std::string_view change) = 0;
+    virtual void connectionBroke(const BrokenConnection&) = 0;
+
+    /// A message of a caller was refused because it is not part of the protocol; the caller's connection is closed.
+    virtual void messageRefused(const std::string& database, const std::string& reason) = 0;
 
     /// Keys of open transactions have been withdrawn, `pending` of them while a statement was pending.
     virtual void keysWithdrawn(size_t transactions, size_t pending) = 0;
--- a/tests/Adapter/CallerServerTest.cpp
+++ b/tests/Adapter/CallerServerTest.cpp
@@ -32,9 +32,11 @@
         this->link->answer({});
         this->link->close();
     }
+    void handleRefusedMessage(const std::string& reason) override { this->refusals.push_back(reason); }
     void handleDisconnect() override { this->link = nullptr; }
 
     CallerLink* link;
+    std::vector<std::string> refusals;
 };
 
 class ClosingSessions : public CallerHandlerFactory {
@@ -118,4 +120,14 @@
     BOOST_TEST(received.find("COMPLETE") != std::string::npos);
 }
 
+// Guards against a caller that is disconnected without a word of the cause in the log.
+BOOST_AUTO_TEST_CASE(Message_NotOfTheProtocol_SessionIsToldTheReason)
+{
+    this->send("CONNECT stock key\r\nHELLO\r\n");
+    this->run();
+    BOOST_REQUIRE(this->factory.sessions.size() == 1U);
+    BOOST_TEST(this->factory.sessions.front()->refusals == std::vector<std::string> { "not a message" },
+        boost::test_tools::per_element());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/Relay/RelayFleet.h
+++ b/tests/Relay/RelayFleet.h
@@ -89,6 +89,8 @@
         void sentToDraining(const StatementToDraining& sent) override { this->toDraining.push_back(sent); }
         void statementDone(bool, Duration) override { }
         void endpointChanged(const EndpointId&, std::string_view) override { }
+        void connectionBroke(const BrokenConnection&) override { }
+        void messageRefused(const std::string&, const std::string&) override { }
         void keysWithdrawn(size_t, size_t) override { }
         void sessionsChanged(size_t) override { }
 
@@ -98,6 +100,7 @@
 
     struct Observer : EndpointObserver {
         void endpointReachabilityChanged(const EndpointId&, bool) override { }
+        void connectionBroke(const BrokenConnection&) override { }
     };
 
     RelayFleet();
--- a/tests/Relay/RelayTest.cpp
+++ b/tests/Relay/RelayTest.cpp
@@ -220,7 +220,7 @@
     BOOST_REQUIRE(this->log.relays.size() == 1U);
     BOOST_TEST(this->log.relays.front().id == "5c0e7a21d94b36f8");
     BOOST_TEST(this->log.relays.front().endpoint == EndpointId("a"));
-    BOOST_TEST(this->log.relays.front().reason == "the connection to the endpoint broke");
+    BOOST_TEST(this->log.relays.front().reason == "the connection broke: fake failure");
 }
 
 // If no connection can be opened, nothing has been sent and the batch must be answered as not run.
--- a/tests/Statements/EndpointPoolTest.cpp
+++ b/tests/Statements/EndpointPoolTest.cpp
@@ -13,8 +13,10 @@
 class Observer : public EndpointObserver {
 public:
     void endpointReachabilityChanged(const EndpointId&, bool reachable) override { this->changes.push_back(reachable); }
+    void connectionBroke(const BrokenConnection& connection) override { this->broken.push_back(connection); }
 
     std::vector<bool> changes;
+    std::vector<BrokenConnection> broken;
 };
 
 struct PoolFixture {
@@ -203,4 +205,24 @@
     BOOST_TEST(this->observer.changes.empty());
 }
 
+// Guards against a connection that is given up without a word of the cause in the log.
+BOOST_AUTO_TEST_CASE(Connection_BreaksWithStatementPending_ReasonIsReported)
+{
+    const size_t first = this->acquire("desk");
+    this->timers.advance(20ms);
+    const auto connection = this->results[first]->connection;
+    BOOST_REQUIRE(connection);
+    this->connector.database("a").breakAt = StatementKind::Read;
+    std::optional<ExchangeResult> result;
+    connection->exchange({ makeProxyStatement(StatementKind::Read) }, this->timers.now() + 100ms,
+        [&result](ExchangeResult ended) { result = std::move(ended); });
+    this->timers.advance(20ms);
+    BOOST_REQUIRE_EQUAL(this->observer.broken.size(), 1U);
+    const BrokenConnection& broken = this->observer.broken.front();
+    BOOST_TEST((broken == BrokenConnection { EndpointId("a"), OrganisationId("desk"), true, broken.reason }));
+    BOOST_TEST(!broken.reason.empty());
+    BOOST_REQUIRE(result);
+    BOOST_TEST(result->describeFailure() == "the connection broke: " + broken.reason);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
