Check answers of other VMs against what they were asked

A VM that relays a batch answers it with a list. A list of another length than the batch, an empty one above all, was read beyond its end and could end the process; so could a batch that only sets the session up, at the VM that relays it. A link that was reported open twice made a connection in use idle, so that a second session could take it.

Answers in another number than the statements, and a second report that a link is open, now end the connection; a batch of session statements is answered by the link itself. Before: memory access violations in EndpointPoolTest/Answers_OtherNumberThanStatements_ConnectionBreaks and PooledLinkTest/Send_OnlySessionStatements_AreAnsweredByTheLink; Opened_ReportedAgainWhileInUse_ConnectionBreaks fails with its check taken out.

--- a/src/Relay/PooledLink.cpp
+++ b/src/Relay/PooledLink.cpp
@@ -48,6 +48,14 @@
     this->isBatchRunning = true;
     this->sessionStatementCount = this->applySessionStatements(batch);
     this->statements.assign(batch.begin() + static_cast<std::ptrdiff_t>(this->sessionStatementCount), batch.end());
+    if (this->statements.empty()) {
+        this->timers.schedule(this->timers.now(), [self = this->shared_from_this()] {
+            self->answer({});
+            if (!self->listener && self->connection)
+                self->releaseConnection(std::exchange(self->connection, nullptr), true);
+        });
+        return;
+    }
     if (this->connection) {
         this->onConnectionAcquired({ this->connection, "" }, deadline);
         return;
--- a/src/Statements/PooledConnection.cpp
+++ b/src/Statements/PooledConnection.cpp
@@ -47,6 +47,7 @@
     this->stateChangeTime = this->timers.now();
     this->callback = std::move(done);
     this->setupStatementCount = countSetupStatements(statements);
+    this->statementCount = statements.size();
     this->scheduleTimeout(deadline);
     this->link->send(statements, deadline);
 }
@@ -73,6 +74,13 @@
     });
 }
 
+void PooledConnection::giveUp(const std::string& reason)
+{
+    if (this->owningPool)
+        this->owningPool->reportBroken(*this, this->state == State::Waiting, reason);
+    this->closeWithoutAnswer(reason);
+}
+
 void PooledConnection::closeWithoutAnswer(const std::string& reason)
 {
     const auto self = this->shared_from_this();
@@ -141,6 +149,10 @@
 
 void PooledConnection::linkOpened()
 {
+    if (this->state != State::Opening) {
+        this->giveUp("the connection was reported open again");
+        return;
+    }
     this->cancelTimer();
     this->owningPool->handleConnectionOpened(*this);
 }
@@ -149,17 +161,19 @@
 {
     if (this->state != State::Waiting) {
         // Unsolicited data must not be taken for the answer to the next statement.
-        if (this->owningPool)
-            this->owningPool->reportBroken(*this, false, "the endpoint answered without a question");
-        this->close();
+        this->giveUp("the endpoint answered without a question");
+        return;
+    }
+    if (answers.empty() || answers.size() != this->statementCount) {
+        this->giveUp(std::to_string(answers.size()) + " answers arrived for " + std::to_string(this->statementCount)
+            + " statements");
         return;
     }
-    const auto prepared
-        = answers.begin() + static_cast<std::ptrdiff_t>(std::min(this->setupStatementCount, answers.size()));
+    const auto prepared = answers.begin() + static_cast<std::ptrdiff_t>(this->setupStatementCount);
     if (std::any_of(
             answers.begin(), prepared, [](const EndpointAnswer& answer) { return answer.code != AnswerCode::Done; })) {
         // The remaining statements ran without the session's values, and the values of the connection are now unknown.
-        this->closeWithoutAnswer("the endpoint refused to set the connection up");
+        this->giveUp("the endpoint refused to set the connection up");
         return;
     }
     this->cancelTimer();
--- a/src/Statements/PooledConnection.h
+++ b/src/Statements/PooledConnection.h
@@ -85,6 +85,9 @@
 
     /// Closes the connection and reports the pending exchange as unanswered.
     void closeWithoutAnswer(const std::string& reason);
+
+    /// As `closeWithoutAnswer`, because of what was received.
+    void giveUp(const std::string& reason);
     void cancelTimer();
 
     EndpointPool* owningPool;
@@ -101,6 +104,7 @@
     /// Leading statements of the pending batch that set up the connection and must succeed for the other answers to be
     /// valid.
     size_t setupStatementCount = 0;
+    size_t statementCount = 0; ///< statements of the pending batch
     ExchangeCallback callback;
     std::optional<Timers::Handle> timer;
 };
--- a/tests/Relay/PooledLinkTest.cpp
+++ b/tests/Relay/PooledLinkTest.cpp
@@ -70,4 +70,28 @@
     BOOST_TEST(first.answers.size() == 2U);
 }
 
+// Guards against a batch of another VM that ends the process, because no answer of an endpoint belongs to it.
+BOOST_AUTO_TEST_CASE(Send_OnlySessionStatements_AreAnsweredByTheLink)
+{
+    RelayFleet::Listener listener;
+    const auto link = this->open("desk", listener);
+    this->timers.advance(20ms);
+    Statement set = makeProxyStatement(StatementKind::SetValue);
+    set.name = "n";
+    set.text = "v";
+    for (const auto& batch : { std::vector<Statement> { makeProxyStatement(StatementKind::Reset) },
+             std::vector<Statement> { set, makeProxyStatement(StatementKind::Reset) },
+             std::vector<Statement> { set } }) {
+        listener.answers.clear();
+        link->send(batch, this->timers.now() + 800ms);
+        this->timers.advance(20ms);
+        BOOST_REQUIRE_EQUAL(listener.answers.size(), 1U);
+        BOOST_REQUIRE_EQUAL(listener.answers.back().size(), batch.size());
+        BOOST_TEST((listener.answers.back().back().code == AnswerCode::Done));
+    }
+    this->send(*link, StatementKind::Read);
+    this->timers.advance(20ms);
+    BOOST_TEST(this->connector.database("a").receivedStatements.back() == "");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/Statements/EndpointPoolTest.cpp
+++ b/tests/Statements/EndpointPoolTest.cpp
@@ -242,4 +242,39 @@
     BOOST_TEST((this->results[second]->connection && this->results[second]->connection != connection));
 }
 
+// Guards against answers of another VM that do not belong to the statements, and against a process that they end.
+BOOST_AUTO_TEST_CASE(Answers_OtherNumberThanStatements_ConnectionBreaks)
+{
+    for (const size_t count : { 0U, 1U, 3U }) {
+        const size_t index = this->acquire("desk");
+        this->timers.advance(20ms);
+        const auto connection = this->results[index]->connection;
+        BOOST_REQUIRE(connection);
+        this->connector.database("a").answersSent = count;
+        std::optional<ExchangeResult> result;
+        connection->exchange({ makeProxyStatement(StatementKind::Read), makeProxyStatement(StatementKind::Rollback) },
+            this->timers.now() + 100ms, [&result](ExchangeResult ended) { result = std::move(ended); });
+        this->timers.advance(20ms);
+        BOOST_REQUIRE(result);
+        BOOST_TEST(!result->hasAnswers());
+        BOOST_TEST(!connection->isAlive());
+        this->connector.database("a").answersSent.reset();
+    }
+}
+
+// Guards against a connection that two sessions use at once, because it was reported open while in use.
+BOOST_AUTO_TEST_CASE(Opened_ReportedAgainWhileInUse_ConnectionBreaks)
+{
+    const size_t first = this->acquire("desk");
+    this->timers.advance(20ms);
+    const auto connection = this->results[first]->connection;
+    BOOST_REQUIRE(connection);
+    static_cast<LinkListener&>(*connection).linkOpened();
+    BOOST_TEST(!connection->isAlive());
+    const size_t second = this->acquire("desk");
+    this->timers.advance(20ms);
+    BOOST_REQUIRE(this->results[second]);
+    BOOST_TEST((this->results[second]->connection != connection));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/Statements/FakeDatabases.cpp
+++ b/tests/Statements/FakeDatabases.cpp
@@ -52,6 +52,8 @@
         }
         if (this->database.silent)
             return;
+        if (this->database.answersSent)
+            answers.resize(*this->database.answersSent);
         this->scheduleAction(
             [this, answers = std::move(answers)]() mutable { this->listener->linkAnswered(std::move(answers)); });
     }
--- a/tests/Statements/FakeDatabases.h
+++ b/tests/Statements/FakeDatabases.h
@@ -22,6 +22,7 @@
     bool silent = false; ///< accepts statements and never answers
     bool silentToConnections = false; ///< its host does not accept connections
     bool silentToOpenings = false; ///< its host accepts connections, but the endpoint never opens a session
+    std::optional<size_t> answersSent; ///< number of answers to a batch, if not one to each statement
     bool exhaustsLinks = false; ///< its links may carry no more after an answer
     /// If set, the connection breaks at the next statement of this kind, before it runs.
     std::optional<StatementKind> breakAt;
