Refuse to send fields that would break a message

Texts come to the encoder from callers, from the configuration and from other VMs, and none of them need have the framing of the endpoints' protocol. A text of another VM with CR LF, or an identifier with a blank, would have been read by an endpoint as another statement; an organisation's name with a blank as another endpoint, so that every connection for it failed and the endpoint was taken for unreachable.

The encoder throws, and the link fails before anything is sent. An organisation whose name cannot be sent is left out of the configuration with an error in the log. EXECUTE without an item is refused as malformed, like READ: it reached the endpoint without the blank that its caller had sent.

--- a/tests/Adapter/DirectorySourceTest.cpp
+++ b/tests/Adapter/DirectorySourceTest.cpp
@@ -158,4 +158,17 @@
     this->waitFor([this] { return this->listener.configurationVersion == 15; });
 }
 
+// Guards against an organisation in whose name no connection to an endpoint can be opened: the endpoint would be taken
+// for unreachable, for all organisations.
+BOOST_AUTO_TEST_CASE(DecodeConfiguration_OrganisationNameBreaksMessages_IsLeftOut)
+{
+    for (const char* odd : { "", "a b", "a\\r\\nQUERY - STATUS", "a\\u0000" }) {
+        const auto configuration = decodeConfiguration(R"({"version":7,"routes":[],"services":[],"tenants":[
+            {"name":")"
+            + std::string(odd) + R"(","api_keys":["k1"]},{"name":"desk","api_keys":["k2"]}]})");
+        BOOST_REQUIRE_EQUAL(configuration.organisations.size(), 1U);
+        BOOST_TEST(configuration.organisations.front().name.str() == "desk", odd);
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/Adapter/MessageFramingTest.cpp
+++ b/tests/Adapter/MessageFramingTest.cpp
@@ -141,4 +141,12 @@
     }
 }
 
+// Guards against a statement of another VM that the endpoint would read as two.
+BOOST_FIXTURE_TEST_CASE(Endpoint_TextHoldsALineEnd_NothingIsSent, ScriptedEndpoint)
+{
+    this->send({ makeWrite("a\r\nQUERY 2 WRITE y b") });
+    BOOST_TEST(this->receive() == "");
+    BOOST_TEST(this->listener.failure.has_value());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/Adapter/WireTest.cpp
+++ b/tests/Adapter/WireTest.cpp
@@ -1,8 +1,12 @@
 #include "Wire.h"
 
+#include "Core/Error.h"
+#include "Relay/RelayMessages.h"
+
 #include <boost/test/unit_test.hpp>
 
 #include <string>
+#include <variant>
 #include <vector>
 
 using namespace Lavendervane;
@@ -62,7 +66,7 @@
         BOOST_TEST((decodeCallerMessage(line).kind == Kind::Malformed), line);
     for (const char* line : { "QUERY 1 READ", "QUERY 1 DROP x", "QUERY 1 BEGIN WRITE", "QUERY 1 PREPARE s1",
              "QUERY 1 RESET", "QUERY 1 PREPARE s1 UPDATE x", "QUERY 1 EXECUTE", "QUERY 1 AFTER 3.1 READ x",
-             "QUERY 1 STATUS", "QUERY 1 COMMIT now" }) {
+             "QUERY 1 STATUS", "QUERY 1 COMMIT now", "QUERY 1 EXECUTE s1", "QUERY 1 EXECUTE s1 " }) {
         const auto message = decodeCallerMessage(line);
         BOOST_TEST((message.kind == Kind::Statement && message.statement.kind == StatementKind::Malformed), line);
     }
@@ -83,6 +87,44 @@
     BOOST_TEST(encodeStatement(step) == "QUERY - STEPDOWN 4\r\n");
 }
 
+// Guards against a text that reaches the endpoint otherwise than its caller sent it.
+BOOST_AUTO_TEST_CASE(EncodeStatement_DecodedFromCaller_IsUnchanged)
+{
+    for (const std::string& text : std::vector<std::string> { "READ 1a4", "READ  1a4 ", "WRITE 1a4 a\nb",
+             "WRITE 1a4 a\r", "WRITE 1a4  ", "WRITE 1a4 \xff\xfe", std::string("WRITE 1a4 a\0b", 13), "EXECUTE s1 1a4",
+             "EXECUTE s1 1a4 ", "EXECUTE s1  a", "EXECUTE s1 1a4 a\n\r", "COMMIT" }) {
+        const CallerMessage message = decodeCallerMessage("QUERY 5c0e " + text);
+        BOOST_REQUIRE((message.kind == Kind::Statement));
+        BOOST_TEST(encodeStatement(message.statement) == "QUERY 5c0e " + text + "\r\n");
+        const auto relayed = decodeRelayMessage(encodeRelayMessage(RelayBatch { 1, 100, { message.statement } }));
+        BOOST_REQUIRE(relayed);
+        BOOST_TEST((std::get<RelayBatch>(*relayed).statements.front() == message.statement), text);
+    }
+}
+
+// Guards against a field that ends the message and makes the rest of it a message of its own.
+BOOST_AUTO_TEST_CASE(Encode_FieldBreaksTheMessage_Throws)
+{
+    Statement write;
+    write.kind = StatementKind::Write;
+    write.id = "5c0e";
+    write.text = "WRITE x a\r\nQUERY 1 WRITE y b";
+    BOOST_CHECK_THROW(encodeStatement(write), Error);
+    write.text = "WRITE x a";
+    write.id = "5c0e WRITE y";
+    BOOST_CHECK_THROW(encodeStatement(write), Error);
+    Statement set = makeProxyStatement(StatementKind::SetValue);
+    set.name = "n v";
+    BOOST_CHECK_THROW(encodeStatement(set), Error);
+    const LinkTarget target { GroupId("stock"), EndpointId("i-1"), "10.0.0.1:1", OrganisationId("desk") };
+    LinkTarget odd = target;
+    odd.organisation = OrganisationId("desk i-2");
+    BOOST_CHECK_THROW(encodeConnect(odd), Error);
+    odd = target;
+    odd.endpoint = EndpointId("i-1\r\nQUERY - STEPDOWN 9");
+    BOOST_CHECK_THROW(encodeConnect(odd), Error);
+}
+
 // CONNECT carries the organisation, and the endpoint's id so that another endpoint at a reused address can reject it.
 BOOST_AUTO_TEST_CASE(EncodeConnect_ToEndpoint_NamesOrganisationAndEndpoint)
 {
