Report answers that endpoints send again

Ignoring a repeated answer left no trace, so that an endpoint that sends answers twice could not be told from one that does not. New line repeated_answer_ignored and a counter.

--- a/src/Fleet/EntryDaemon.cpp
+++ b/src/Fleet/EntryDaemon.cpp
@@ -125,6 +125,12 @@
                 { "statement_pending", broken.statementPending ? "true" : "false" }, { "reason", broken.reason } });
     }
 
+    void repeatedAnswerIgnored(const EndpointId& endpoint) override
+    {
+        this->metrics.repeatedAnswerIgnored();
+        this->log.write("repeated_answer_ignored", { { "endpoint", endpoint.str() } });
+    }
+
     void messageRefused(const std::string& database, const std::string& reason) override
     {
         this->metrics.messageRefused();
--- a/src/Metrics/SessionMetrics.cpp
+++ b/src/Metrics/SessionMetrics.cpp
@@ -33,6 +33,11 @@
                                 .Name("lavendervane_endpoint_connections_broken_total")
                                 .Help("Open connections to endpoints that failed, by whether a statement was pending")
                                 .Register(registry))
+        , repeatedAnswers(BuildCounter()
+                              .Name("lavendervane_repeated_answers_total")
+                              .Help("Answers that endpoints sent again and that were ignored")
+                              .Register(registry)
+                              .Add({}))
         , refusedMessages(BuildCounter()
                               .Name("lavendervane_messages_refused_total")
                               .Help("Messages of callers that are not part of the protocol")
@@ -81,6 +86,7 @@
     Family<Counter>& servedStatements;
     Family<Counter>& endpointChanges;
     Family<Counter>& brokenConnections;
+    Counter& repeatedAnswers;
     Counter& refusedMessages;
     Family<Counter>& promotions;
     Family<Counter>& feedRechecks;
@@ -126,6 +132,8 @@
     this->families->brokenConnections.Add({ { "statement_pending", statementPending ? "true" : "false" } }).Increment();
 }
 
+void SessionMetrics::repeatedAnswerIgnored() { this->families->repeatedAnswers.Increment(); }
+
 void SessionMetrics::messageRefused() { this->families->refusedMessages.Increment(); }
 
 void SessionMetrics::sentToDraining() { this->families->drainingStatements.Increment(); }
--- a/src/Metrics/SessionMetrics.h
+++ b/src/Metrics/SessionMetrics.h
@@ -32,6 +32,9 @@
     /// Counts an open connection to an endpoint that has failed.
     void connectionBroke(bool statementPending);
 
+    /// Counts an answer that an endpoint sent again and that was ignored.
+    void repeatedAnswerIgnored();
+
     /// Counts a message of a caller that was refused because it is not part of the protocol.
     void messageRefused();
 
--- a/src/Statements/EndpointLink.h
+++ b/src/Statements/EndpointLink.h
@@ -44,6 +44,9 @@
     /// Called with the answers to all statements of one `send`, in order.
     virtual void linkAnswered(std::vector<EndpointAnswer>) = 0;
 
+    /// The endpoint has sent an answer again, which was ignored.
+    virtual void linkIgnoredRepetition() { }
+
     /// The link has failed; no further call is made. `code` is only meaningful for LinkFailure::Rejected.
     virtual void linkFailed(LinkFailure, AnswerCode code, const std::string& message) = 0;
 };
--- a/src/Statements/EndpointPool.h
+++ b/src/Statements/EndpointPool.h
@@ -55,6 +55,9 @@
 
     /// An open connection has failed, or was given up because of what the endpoint sent.
     virtual void connectionBroke(const BrokenConnection&) = 0;
+
+    /// The endpoint has sent an answer again, which was ignored.
+    virtual void repeatedAnswerIgnored(const EndpointId&) = 0;
 };
 
 /// Connections of this VM to one endpoint. Each connection is opened for one organisation. If this VM has reached its
@@ -136,6 +139,7 @@
     void handleConnectionOpened(PooledConnection&);
     void handleConnectionFailed(
         PooledConnection&, LinkFailure, AnswerCode, const std::string& message, bool whileOpening);
+    void reportRepeatedAnswer() { this->observer.repeatedAnswerIgnored(this->target.id); }
     void reportBroken(const PooledConnection&, bool statementPending, const std::string& reason);
     void remove(const PooledConnection&);
     void failWaiters(const std::string& reason);
--- a/src/Statements/PooledConnection.cpp
+++ b/src/Statements/PooledConnection.cpp
@@ -187,6 +187,12 @@
     this->completeExchange({ std::move(answers), false, "" });
 }
 
+void PooledConnection::linkIgnoredRepetition()
+{
+    if (this->owningPool)
+        this->owningPool->reportRepeatedAnswer();
+}
+
 void PooledConnection::linkFailed(LinkFailure failure, AnswerCode code, const std::string& message)
 {
     const auto self = this->shared_from_this();
--- a/src/Statements/PooledConnection.h
+++ b/src/Statements/PooledConnection.h
@@ -79,6 +79,7 @@
     void linkConnected() override;
     void linkOpened() override;
     void linkAnswered(std::vector<EndpointAnswer>) override;
+    void linkIgnoredRepetition() override;
     void linkFailed(LinkFailure, AnswerCode, const std::string& message) override;
     void completeExchange(ExchangeResult);
     void scheduleTimeout(Instant deadline);
--- a/src/Statements/StatementService.h
+++ b/src/Statements/StatementService.h
@@ -170,6 +170,10 @@
 private:
     void endpointReachabilityChanged(const EndpointId&, bool reachable) override;
     void connectionBroke(const BrokenConnection& broken) override { this->trafficLog.connectionBroke(broken); }
+    void repeatedAnswerIgnored(const EndpointId& endpoint) override
+    {
+        this->trafficLog.repeatedAnswerIgnored(endpoint);
+    }
     void primaryLeaseChanged() override;
     void primaryRevoked(const PrimaryRevocation&) override;
     bool canUsePrimary(const GroupTraffic&) const;
--- a/src/Statements/TrafficLog.h
+++ b/src/Statements/TrafficLog.h
@@ -53,6 +53,7 @@
     virtual void sentToDraining(const StatementToDraining&) = 0;
     virtual void endpointChanged(const EndpointId&, std::string_view change) = 0;
     virtual void connectionBroke(const BrokenConnection&) = 0;
+    virtual void repeatedAnswerIgnored(const EndpointId&) = 0;
 
     /// A message of a caller was refused because it is not part of the protocol; the caller's connection is closed.
     virtual void messageRefused(const std::string& database, const std::string& reason) = 0;
--- a/tests/Adapter/RepeatedAnswerTest.cpp
+++ b/tests/Adapter/RepeatedAnswerTest.cpp
@@ -58,6 +58,7 @@
     this->write(signedAnswer("1"));
     this->write(signedAnswer("2"));
     BOOST_TEST((this->listener.failure || this->listener.batches.size() == 2U));
+    BOOST_TEST((this->listener.failure || this->listener.repetitions == 1U));
     for (const auto& batch : this->listener.batches)
         BOOST_TEST(
             batch.back().result.find("row-1") == (&batch == &this->listener.batches.front() ? 4U : std::string::npos));
--- a/tests/Adapter/ScriptedEndpoint.h
+++ b/tests/Adapter/ScriptedEndpoint.h
@@ -23,9 +23,11 @@
     void linkConnected() override { }
     void linkOpened() override { this->isOpen = true; }
     void linkAnswered(std::vector<EndpointAnswer> batch) override { this->batches.push_back(std::move(batch)); }
+    void linkIgnoredRepetition() override { ++this->repetitions; }
     void linkFailed(LinkFailure, AnswerCode, const std::string& message) override { this->failure = message; }
 
     bool isOpen = false;
+    size_t repetitions = 0;
     std::vector<std::vector<EndpointAnswer>> batches;
     std::optional<std::string> failure; ///< reason for which the link failed
 };
--- a/tests/Relay/RelayFleet.h
+++ b/tests/Relay/RelayFleet.h
@@ -90,6 +90,7 @@
         void statementDone(bool, Duration) override { }
         void endpointChanged(const EndpointId&, std::string_view) override { }
         void connectionBroke(const BrokenConnection&) override { }
+        void repeatedAnswerIgnored(const EndpointId&) override { }
         void messageRefused(const std::string&, const std::string&) override { }
         void keysWithdrawn(size_t, size_t) override { }
         void sessionsChanged(size_t) override { }
@@ -101,6 +102,7 @@
     struct Observer : EndpointObserver {
         void endpointReachabilityChanged(const EndpointId&, bool) override { }
         void connectionBroke(const BrokenConnection&) override { }
+        void repeatedAnswerIgnored(const EndpointId&) override { }
     };
 
     RelayFleet();
--- a/tests/Statements/EndpointPoolTest.cpp
+++ b/tests/Statements/EndpointPoolTest.cpp
@@ -14,9 +14,11 @@
 public:
     void endpointReachabilityChanged(const EndpointId&, bool reachable) override { this->changes.push_back(reachable); }
     void connectionBroke(const BrokenConnection& connection) override { this->broken.push_back(connection); }
+    void repeatedAnswerIgnored(const EndpointId& endpoint) override { this->repeating.push_back(endpoint); }
 
     std::vector<bool> changes;
     std::vector<BrokenConnection> broken;
+    std::vector<EndpointId> repeating;
 };
 
 struct PoolFixture {
@@ -225,6 +227,17 @@
     BOOST_TEST(result->describeFailure() == "the connection broke: " + broken.reason);
 }
 
+// Guards against an endpoint that repeats its answers without a word in the log.
+BOOST_AUTO_TEST_CASE(Repetition_Ignored_IsReported)
+{
+    const size_t first = this->acquire("desk");
+    this->timers.advance(20ms);
+    BOOST_REQUIRE(this->results[first]->connection);
+    static_cast<LinkListener&>(*this->results[first]->connection).linkIgnoredRepetition();
+    BOOST_TEST((this->observer.repeating == std::vector<EndpointId> { EndpointId("a") }));
+    BOOST_TEST(this->results[first]->connection->isAlive());
+}
+
 // Guards against a further statement on a connection on which its answer could not be told from an earlier one.
 BOOST_AUTO_TEST_CASE(Release_LinkMayNotCarryMore_ConnectionIsClosed)
 {
--- a/tests/Statements/ServiceFixture.h
+++ b/tests/Statements/ServiceFixture.h
@@ -101,6 +101,7 @@
     void statementDone(bool, Duration) override { }
     void endpointChanged(const EndpointId&, std::string_view) override { }
     void connectionBroke(const BrokenConnection&) override { }
+    void repeatedAnswerIgnored(const EndpointId&) override { }
     void messageRefused(const std::string&, const std::string&) override { }
     void keysWithdrawn(size_t, size_t) override { }
     void sessionsChanged(size_t count) override { this->sessions = count; }
