Ignore repeated answers that have no signature

With one answer in ten repeated, each second copy of the answer to a begin, rollback or setup statement ended its connection: transactions were aborted and writes left in doubt that had done nothing wrong.

An unsigned success that fits no statement under way and equals an earlier one is ignored. It repeats that one, or belongs to a later statement for which that one was taken; ignoring it puts the answers in step again in both cases. The position of the primary comes from the first signed answer after the begin now, because a signed answer no longer shows that the answer to the begin was not an old one.

--- a/src/Statements/AnswerMatcher.cpp
+++ b/src/Statements/AnswerMatcher.cpp
@@ -47,7 +47,7 @@
             return this->matchKnownSignature(*earlier, answer);
     }
     if (this->expected.empty())
-        return this->contradict("the endpoint answered without a question");
+        return this->ignoreIfRepeated(answer, "the endpoint answered without a question");
     return answer.code == AnswerCode::Done ? this->matchSuccess(answer) : this->matchError(answer);
 }
 
@@ -66,11 +66,15 @@
 {
     const auto [kind, statementId] = this->expected.front();
     if (needsSignature(kind) && answer.signature.empty())
-        return this->contradict("the endpoint reported a success without its signature");
+        return this->ignoreIfRepeated(answer, "the endpoint reported a success without its signature");
     if (answer.state != stateAfterSuccess(kind, this->state))
-        return this->contradict("the endpoint reported a success with the state of another transaction");
+        return this->ignoreIfRepeated(answer, "the endpoint reported a success with the state of another transaction");
     if (!answer.signature.empty())
         this->signedAnswers.push_back({ digest(answer.signature), digest(answer.result), statementId });
+    else if (const UnsignedAnswer received { digest(answer.result), answer.state };
+             std::find(this->unsignedAnswers.begin(), this->unsignedAnswers.end(), received)
+             == this->unsignedAnswers.end())
+        this->unsignedAnswers.push_back(received);
     // A status has no signature, so that an old one cannot be told from a new one.
     if (kind == StatementKind::Status || kind == StatementKind::StepDown
         || this->signedAnswers.size() >= maxSignedAnswers)
@@ -94,6 +98,18 @@
     return Verdict::Matches;
 }
 
+// An unsigned success that belongs to no statement under way is harmless if it equals an earlier one: it repeats that
+// one, or belongs to a later statement for which that one was taken. If it had rows of another answer before it, it
+// would not be equal.
+AnswerMatcher::Verdict AnswerMatcher::ignoreIfRepeated(const EndpointAnswer& answer, const char* why)
+{
+    const bool isRepeated = answer.code == AnswerCode::Done && answer.signature.empty()
+        && std::find(this->unsignedAnswers.begin(), this->unsignedAnswers.end(),
+               UnsignedAnswer { digest(answer.result), answer.state })
+            != this->unsignedAnswers.end();
+    return isRepeated ? Verdict::Repetition : this->contradict(why);
+}
+
 AnswerMatcher::Verdict AnswerMatcher::contradict(const char* why)
 {
     this->reason = why;
--- a/src/Statements/AnswerMatcher.h
+++ b/src/Statements/AnswerMatcher.h
@@ -47,13 +47,23 @@
         uint64_t statementId = 0;
     };
 
+    /// An answer without a signature. Many are equal.
+    struct UnsignedAnswer {
+        uint64_t result = 0; ///< digest
+        TransactionState state = TransactionState::Idle;
+
+        friend bool operator==(const UnsignedAnswer&, const UnsignedAnswer&) = default;
+    };
+
     Verdict contradict(const char* why);
+    Verdict ignoreIfRepeated(const EndpointAnswer&, const char* why);
     Verdict matchKnownSignature(const SignedAnswer& earlier, const EndpointAnswer&);
     Verdict matchError(const EndpointAnswer&);
     Verdict matchSuccess(const EndpointAnswer&);
 
     std::deque<ExpectedAnswer> expected; ///< in the order in which the statements were sent
     std::vector<SignedAnswer> signedAnswers;
+    std::vector<UnsignedAnswer> unsignedAnswers; ///< without duplicates
     std::vector<uint64_t> errors; ///< digests of the errors received
     TransactionState state = TransactionState::Idle; ///< after the last answer
     bool isExhausted = false;
--- a/src/Statements/CallerOperation.cpp
+++ b/src/Statements/CallerOperation.cpp
@@ -289,15 +289,14 @@
                 return;
             std::vector<Statement> reading = self->withSetupStatements(connection, self->operation->statement);
             reading.push_back(makeProxyStatement(StatementKind::Rollback));
-            connection->exchange(reading, self->operation->deadline,
-                [self, connection, sent, begun = result.answers.back()](ExchangeResult inner) {
-                    if (inner.hasAnswers())
-                        inner.answers.pop_back();
-                    // Only a signed answer shows that the answer to the begin was not a repetition of an older one.
-                    if (self->operation && inner.hasAnswers() && inner.answers.back().code == AnswerCode::Done)
-                        self->recordPosition(self->operation->route, sent, begun);
-                    self->handleSingleAnswer(connection, std::move(inner), sent);
-                });
+            connection->exchange(reading, self->operation->deadline, [self, connection, sent](ExchangeResult inner) {
+                if (inner.hasAnswers())
+                    inner.answers.pop_back();
+                // The answer to the begin is unsigned and may repeat an older one, with the position of that time.
+                if (self->operation && inner.hasAnswers() && inner.answers.back().code == AnswerCode::Done)
+                    self->recordPosition(self->operation->route, sent, inner.answers.back());
+                self->handleSingleAnswer(connection, std::move(inner), sent);
+            });
         });
 }
 
--- a/src/Statements/CallerSession.h
+++ b/src/Statements/CallerSession.h
@@ -76,12 +76,6 @@
         uint64_t admissionRequestId = 0;
     };
 
-    /// Answer to the begin of a transaction at the primary.
-    struct BegunAnswer {
-        Instant sent;
-        EndpointAnswer answer;
-    };
-
     struct Transaction {
         bool readOnly = false;
         bool wrote = false;
@@ -92,7 +86,8 @@
         Instant startTime;
         std::shared_ptr<PooledConnection> connection; ///< null until the first statement reaches an endpoint
         RegisteredEndpoint endpoint; ///< endpoint of `connection`
-        std::optional<BegunAnswer> begun; ///< until its position is recorded
+        /// Time at which the transaction was begun at the primary, until the primary's position is recorded.
+        std::optional<Instant> unrecordedBegin;
         std::optional<Timers::Handle> idleTimer;
     };
 
@@ -135,7 +130,7 @@
     void commit(Statement);
     void handleTransactionAnswer(ExchangeResult);
     void handleCommitAnswer(ExchangeResult, Instant sent);
-    void recordBegin();
+    void recordBegin(const EndpointAnswer& first);
     void endTransaction(bool sendRollback);
     std::string reasonToAbort() const;
     void abortTransaction(const std::string& reason);
--- a/src/Statements/CallerTransaction.cpp
+++ b/src/Statements/CallerTransaction.cpp
@@ -66,7 +66,7 @@
             if (self->retryIfEndpointLeft(connection))
                 return;
             if (!running.statement.requiredPosition)
-                self->transaction->begun = { sent, reply };
+                self->transaction->unrecordedBegin = sent;
             self->transaction->connection = connection;
             self->transaction->endpoint = running.pool->endpoint();
             self->dropOperation();
@@ -117,7 +117,7 @@
     if (reply.code == AnswerCode::UnknownPrepared)
         open.connection->forgetPrepared();
     if (reply.code == AnswerCode::Done)
-        this->recordBegin();
+        this->recordBegin(reply);
     if (reply.code == AnswerCode::Done)
         this->service.log().statementDone(open.readOnly, this->service.timers().now() - this->currentArrival);
     if (reply.state != TransactionState::Open)
@@ -129,12 +129,12 @@
     this->answer(toCaller);
 }
 
-// Records the position of the begin. Only a signed answer shows that the answer to the begin was not a repetition of an
-// older one.
-void CallerSession::recordBegin()
+// Records the position in the first signed answer. The answer to the begin is unsigned and may repeat an older one,
+// with the position of that time.
+void CallerSession::recordBegin(const EndpointAnswer& first)
 {
-    if (const auto begun = std::exchange(this->transaction->begun, std::nullopt))
-        this->recordPosition(this->transaction->route, begun->sent, begun->answer);
+    if (const auto sent = std::exchange(this->transaction->unrecordedBegin, std::nullopt))
+        this->recordPosition(this->transaction->route, *sent, first);
 }
 
 void CallerSession::commit(Statement next)
@@ -187,7 +187,7 @@
     }
     EndpointAnswer& reply = result.answers.back();
     if (reply.code == AnswerCode::Done)
-        this->recordBegin();
+        this->recordBegin(reply);
     if (reply.code == AnswerCode::Done && wrote && !this->mayUsePrimary(endpoint)) {
         // Another endpoint may have been promoted before the commit.
         this->endTransaction(reply.state != TransactionState::Idle);
--- a/tests/Statements/AnswerMatcherTest.cpp
+++ b/tests/Statements/AnswerMatcherTest.cpp
@@ -115,6 +115,30 @@
     }
 }
 
+// Guards against a connection that is given up, and a transaction that ends, for every answer that is repeated.
+BOOST_AUTO_TEST_CASE(UnsignedAnswer_ArrivesAgainWhereItDoesNotFit_IsARepetition)
+{
+    const EndpointAnswer begun = success("", TransactionState::Open);
+    this->expect(StatementKind::Begin);
+    BOOST_TEST((this->matcher.match(begun) == Verdict::Matches));
+    BOOST_TEST((this->matcher.match(begun) == Verdict::Repetition));
+    this->expect(StatementKind::Read, "1");
+    BOOST_TEST((this->matcher.match(begun) == Verdict::Repetition));
+    BOOST_TEST((this->matcher.match(success("7.1", TransactionState::Open)) == Verdict::Matches));
+    this->expect(StatementKind::Rollback);
+    BOOST_TEST((this->matcher.match(begun) == Verdict::Repetition));
+    BOOST_TEST((this->matcher.match(success("")) == Verdict::Matches));
+}
+
+// Guards against rows that are lost with an answer that is ignored.
+BOOST_AUTO_TEST_CASE(UnsignedAnswer_ArrivesAgainWithRows_IsAContradiction)
+{
+    this->expect(StatementKind::SetValue);
+    BOOST_TEST((this->matcher.match(success("")) == Verdict::Matches));
+    this->expect(StatementKind::Read, "1");
+    BOOST_TEST((this->matcher.match(success("", TransactionState::Idle, "row")) == Verdict::Contradiction));
+}
+
 BOOST_AUTO_TEST_CASE(Answer_WithoutAStatement_IsAContradiction)
 {
     BOOST_TEST((this->matcher.match(success("7.1")) == Verdict::Contradiction));
