Report writes as in doubt that are pending at an endpoint that left when a stop ends

The end of a stop interrupts the connections of the endpoints that are known. A write that was sent to an endpoint that has since left was not among them and was then refused as not run, although it may run.

Stop_WritePendingAtEndpointThatLeft_IsNotRefusedAsNotRun failed before.

--- a/src/Statements/CallerOperation.cpp
+++ b/src/Statements/CallerOperation.cpp
@@ -265,6 +265,7 @@
 void CallerSession::sendSingleStatement(const std::shared_ptr<PooledConnection>& connection)
 {
     const Instant sent = this->service.timers().now();
+    this->operation->isSent = true;
     connection->exchange(this->withSetupStatements(connection, this->operation->statement), this->operation->deadline,
         [self = this->shared_from_this(), connection, sent](
             ExchangeResult result) { self->handleSingleAnswer(connection, std::move(result), sent); });
@@ -310,6 +311,7 @@
         return;
     }
     Operation& running = *this->operation;
+    running.isSent = false;
     if (!result.hasAnswers()) {
         running.mayHaveRun = true;
         if (running.writes) {
@@ -421,8 +423,15 @@
 
 void CallerSession::refuseOperation(const std::string& reason)
 {
-    if (this->operation)
-        this->finishOperation({ AnswerCode::Busy, "", reason + "; retry at once on a new connection" }, reason);
+    if (!this->operation)
+        return;
+    if (this->operation->isSent && this->operation->writes) {
+        // The connection is not in any pool that could interrupt it, because its endpoint has left.
+        this->operation->mayHaveRun = true;
+        this->finishOperation({ AnswerCode::InDoubt, "", reason }, reason);
+        return;
+    }
+    this->finishOperation({ AnswerCode::Busy, "", reason + "; retry at once on a new connection" }, reason);
 }
 
 void CallerSession::dropOperation()
--- a/src/Statements/CallerSession.h
+++ b/src/Statements/CallerSession.h
@@ -41,7 +41,7 @@
     /// the answer.
     void checkTransaction();
 
-    /// Answers a statement that is waiting to be sent to an endpoint as not run.
+    /// Answers a statement whose operation has not ended: as not run, or as in doubt if it is a write that was sent.
     void refuseOperation(const std::string& reason);
 
     bool hasOpenTransaction() const { return this->transaction && !this->transaction->failed; }
@@ -66,6 +66,7 @@
         bool usesProxyTransaction = false;
         bool startsTransaction = false;
         bool isAdmitted = false;
+        bool isSent = false; ///< the statement itself has been sent and not been answered
         bool mayHaveRun = false; ///< true once any attempt may have run the statement
         uint32_t attempts = 0;
         std::vector<EndpointId> triedEndpoints;
--- a/tests/Statements/CallerSessionTest.cpp
+++ b/tests/Statements/CallerSessionTest.cpp
@@ -650,6 +650,23 @@
     BOOST_TEST(caller->closed);
 }
 
+// Guards against a write that is reported as not run, although it was sent, because its endpoint has since left.
+BOOST_AUTO_TEST_CASE(Stop_WritePendingAtEndpointThatLeft_IsNotRefusedAsNotRun)
+{
+    auto caller = this->open("strong");
+    this->connector.database("a").silent = true;
+    caller->send(StatementKind::Write, "WRITE x 1");
+    this->settle();
+    BOOST_REQUIRE(this->connector.database("a").receivedStatements.back() == "WRITE x 1");
+    this->endpoints.erase(this->endpoints.begin());
+    this->publish();
+    this->service->closeIdleSessions();
+    this->service->shutDown();
+    BOOST_REQUIRE(caller->answers.size() == 1U);
+    BOOST_TEST((caller->last().code == AnswerCode::InDoubt));
+    BOOST_TEST(caller->closed);
+}
+
 // A VM that reaches no primary must close its sessions, so that callers reconnect to other VMs. It must accept callers
 // again once it reaches a primary.
 BOOST_AUTO_TEST_CASE(Stop_VmIsIsolated_SessionsCloseUntilPrimaryIsReachable)
