Close HTTP connections on which bytes follow an answer

Bytes that arrived together with an answer, but belong to no request, stayed in the read buffer of the connection and were read as the answer to the next request. The check before a connection is used again looks at the socket only.

Connection_AnswerArrivesTwiceAtOnce_IsNotReusable failed before.

--- a/src/Http/HttpConnection.cpp
+++ b/src/Http/HttpConnection.cpp
@@ -151,7 +151,8 @@
                     return;
                 }
                 HttpResponse response = self->parser->release();
-                if (!response.keep_alive())
+                // Bytes beyond the answer would be taken for the answer to the next request.
+                if (!response.keep_alive() || self->buffer.size())
                     self->close();
                 auto headers = copyHeaders(response);
                 self->finish({ ExchangeStatus::Answered, response.result_int(), std::move(response.body()), "", false,
--- a/tests/Http/HttpConnectionTest.cpp
+++ b/tests/Http/HttpConnectionTest.cpp
@@ -92,6 +92,20 @@
     BOOST_TEST(!connection.isReusable());
 }
 
+// Bytes beyond an answer belong to no request; the next one would take them for its answer.
+BOOST_FIXTURE_TEST_CASE(Connection_AnswerArrivesTwiceAtOnce_IsNotReusable, EchoServer)
+{
+    boost::asio::ip::tcp::acceptor acceptor(context, { boost::asio::ip::make_address("127.0.0.1"), 0 });
+    HttpConnection connection(context, "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port()));
+    boost::asio::ip::tcp::socket peer(context);
+    acceptor.async_accept(peer, [&peer](const boost::system::error_code&) {
+        const std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfirst";
+        boost::asio::write(peer, boost::asio::buffer(answer + answer));
+    });
+    BOOST_TEST(exchange(connection, "/", "x").body == "first");
+    BOOST_TEST(!connection.isReusable());
+}
+
 BOOST_FIXTURE_TEST_CASE(Server_OversizedBody_AnswersWithoutReset, EchoServer)
 {
     HttpConnection connection(context, address);
