Fail only the link of a relay message that is too long

An answer with many rows, or a batch with many session values, could be longer than the limit of a relay message. The VM that received it closed the connection, so that every link between the two VMs failed: writes of other callers became doubtful and their transactions were aborted. The sender now fails the one link.

--- a/src/Relay/TcpRelayTransport.cpp
+++ b/src/Relay/TcpRelayTransport.cpp
@@ -154,9 +154,32 @@
     if (connection == this->connections.end())
         return;
     const std::string body = encodeRelayMessage(message);
+    if (body.size() > maxFrameBytes) {
+        this->failLinkOf(channel, message);
+        return;
+    }
     connection->second->write(encodeLength(body.size()) + body);
 }
 
+// The other end would close the connection, and with it all links of the two VMs.
+void TcpRelayTransport::failLinkOf(RelayChannel channel, const RelayMessage& message)
+{
+    LOG_EVERY_N(WARNING, 20) << "relay connection " << channel << ": a message is longer than " << maxFrameBytes
+                             << " bytes and is not sent";
+    RelayFailed failed;
+    failed.link = std::visit([](const auto& unsent) { return unsent.link; }, message);
+    failed.code = AnswerCode::TooLarge;
+    failed.message = "a message to or from the owner VM is too long";
+    if (!std::holds_alternative<RelayBatch>(message)) {
+        this->send(channel, failed);
+        return;
+    }
+    asio::post(this->context, [this, channel, failed] {
+        if (this->listener && this->connections.find(channel) != this->connections.end())
+            this->listener->onRelayMessage(channel, failed);
+    });
+}
+
 void TcpRelayTransport::close(RelayChannel channel)
 {
     const auto known = this->connections.find(channel);
--- a/src/Relay/TcpRelayTransport.h
+++ b/src/Relay/TcpRelayTransport.h
@@ -30,6 +30,9 @@
     void accept();
     RelayChannel addConnection(boost::asio::ip::tcp::socket);
     void handleFrame(RelayChannel, std::string_view frame);
+
+    /// Reports the link of a message that is too long to be sent as failed, at the VM that uses the link.
+    void failLinkOf(RelayChannel, const RelayMessage&);
     void closeAndNotify(RelayChannel, const std::string& reason);
 
     boost::asio::io_context& context;
--- a/tests/Relay/TcpRelayTransportTest.cpp
+++ b/tests/Relay/TcpRelayTransportTest.cpp
@@ -115,4 +115,40 @@
     }
 }
 
+// Guards against a long answer that ends the connection between two VMs, and with it the links of all other statements.
+BOOST_AUTO_TEST_CASE(Send_AnswersOverTheFrameLimit_FailOnlyTheirLink)
+{
+    const RelayChannel channel = this->left.open(this->rightAddress);
+    EndpointAnswer answer;
+    answer.code = AnswerCode::Done;
+    answer.result = std::string(5 * 1024 * 1024, 'x');
+    this->left.send(channel, RelayAnswers { 1, { answer } });
+    this->left.send(channel, RelayOpened { 2 });
+    this->runUntil([this] { return this->rightRecorder.closed || this->rightRecorder.messages.size() == 2; });
+    BOOST_TEST(this->rightRecorder.closed == 0);
+    BOOST_REQUIRE(this->rightRecorder.messages.size() == 2U);
+    const auto* failed = std::get_if<RelayFailed>(&this->rightRecorder.messages.front());
+    BOOST_TEST((failed && failed->link == 1 && failed->failure == LinkFailure::Broken));
+}
+
+// Guards against a batch with many session values that does the same.
+BOOST_AUTO_TEST_CASE(Send_BatchOverTheFrameLimit_FailsOnlyItsLink)
+{
+    const RelayChannel channel = this->left.open(this->rightAddress);
+    Statement set = makeProxyStatement(StatementKind::SetValue);
+    set.name = "n";
+    set.text = std::string(1024 * 1024 - 100, 'x');
+    this->left.send(channel, RelayBatch { 1, 800, std::vector<Statement>(5, set) });
+    this->left.send(channel, RelayClose { 2 });
+    this->runUntil([this] {
+        return this->rightRecorder.closed
+            || (this->rightRecorder.messages.size() + this->leftRecorder.messages.size() == 2);
+    });
+    BOOST_TEST(this->rightRecorder.closed == 0);
+    BOOST_TEST(this->rightRecorder.messages.size() == 1U);
+    BOOST_REQUIRE(this->leftRecorder.messages.size() == 1U);
+    const auto* failed = std::get_if<RelayFailed>(&this->leftRecorder.messages.front());
+    BOOST_TEST((failed && failed->link == 1 && failed->failure == LinkFailure::Broken));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
