Report a write as in doubt whose answer shows that no transaction is open

If a repeated answer is taken for the answer to a begin that was refused, the first statement of the transaction runs by itself, and the refusal of the begin is taken for its own: a write took effect although its caller was promised that nothing is kept. The refusal arrives with the state of a connection without a transaction, which no error in a transaction has.

--- a/src/Statements/CallerSession.h
+++ b/src/Statements/CallerSession.h
@@ -81,6 +81,7 @@
         bool readOnly = false;
         bool wrote = false;
         bool failed = false;
+        bool mayHaveRunOutside = false; ///< true once a write may have run by itself, outside the transaction
         std::string failure; ///< reason for an abort that has not been reported to the caller yet
         SessionRoute route;
         OrganisationId organisation;
--- a/src/Statements/CallerTransaction.cpp
+++ b/src/Statements/CallerTransaction.cpp
@@ -122,8 +122,11 @@
         this->service.log().statementDone(open.readOnly, this->service.timers().now() - this->currentArrival);
     if (reply.state != TransactionState::Open)
         open.failed = true;
-    CallerAnswer toCaller { reply.code, std::move(reply.result), reply.message,
-        open.failed ? TransactionState::Failed : TransactionState::Open };
+    // An error leaves a transaction open or failed. Without one, this is the answer to a begin that was refused, while
+    // a repetition of an older answer was taken for it.
+    open.mayHaveRunOutside = reply.code != AnswerCode::Done && reply.state == TransactionState::Idle && open.wrote;
+    CallerAnswer toCaller { open.mayHaveRunOutside ? AnswerCode::InDoubt : reply.code, std::move(reply.result),
+        reply.message, open.failed ? TransactionState::Failed : TransactionState::Open };
     if (reply.code != AnswerCode::Done)
         this->logFailure(toCaller, "the endpoint answered with an error");
     this->answer(toCaller);
@@ -151,8 +154,9 @@
     }
     if (open.failed || !open.connection->isAlive()) {
         const std::string reason = open.failure.empty() ? "the transaction has failed" : open.failure;
+        const AnswerCode outcome = open.mayHaveRunOutside ? AnswerCode::InDoubt : AnswerCode::Aborted;
         this->endTransaction(true);
-        this->refuse(AnswerCode::Aborted, reason);
+        this->refuse(outcome, reason);
         return;
     }
     if (open.wrote && !this->mayUsePrimary(open.endpoint)) {
--- a/tests/Statements/CallerSessionTest.cpp
+++ b/tests/Statements/CallerSessionTest.cpp
@@ -311,6 +311,24 @@
     BOOST_TEST((caller->last().state == TransactionState::Failed));
 }
 
+// Guards against a write that ran by itself, because its begin was refused unnoticed, and is reported as not run. The
+// state of the answer shows that no transaction is open.
+BOOST_AUTO_TEST_CASE(Transaction_RefusedBeginWasTakenAsDone_WriteIsInDoubt)
+{
+    auto caller = this->open("strong");
+    this->connector.database("a").hidesRefusedBegin = true;
+    caller->send(StatementKind::Begin);
+    caller->send(StatementKind::Write, "WRITE x 1");
+    this->settle();
+    BOOST_REQUIRE(caller->answers.size() == 2U);
+    BOOST_TEST(this->connector.database("a").position.position == 101U);
+    BOOST_TEST((caller->last().code == AnswerCode::InDoubt));
+    BOOST_TEST((caller->last().state == TransactionState::Failed));
+    caller->send(StatementKind::Commit);
+    this->settle();
+    BOOST_TEST((caller->last().code == AnswerCode::InDoubt));
+}
+
 // When a caller disconnects, its transaction must be rolled back. Otherwise its locks would remain, or the next session
 // on the connection would continue the transaction.
 BOOST_AUTO_TEST_CASE(Transaction_CallerDisconnects_IsRolledBack)
--- a/tests/Statements/FakeDatabases.cpp
+++ b/tests/Statements/FakeDatabases.cpp
@@ -87,6 +87,18 @@
     {
         this->database.receivedStatements.push_back(describe(statement));
         EndpointAnswer reply;
+        reply.position = this->database.position;
+        if (this->database.hidesRefusedBegin && statement.kind == StatementKind::Begin) {
+            reply.code = AnswerCode::Done;
+            reply.state = TransactionState::Open;
+            return reply;
+        }
+        if (this->database.hidesRefusedBegin) {
+            this->applyStatement(statement, reply);
+            reply = {};
+            reply.code = AnswerCode::Busy;
+            return reply;
+        }
         reply.code = this->codeFor(statement);
         if (reply.code == AnswerCode::Done)
             this->applyStatement(statement, reply);
--- a/tests/Statements/FakeDatabases.h
+++ b/tests/Statements/FakeDatabases.h
@@ -23,6 +23,8 @@
     bool silentToConnections = false; ///< its host does not accept connections
     bool silentToOpenings = false; ///< its host accepts connections, but the endpoint never opens a session
     std::optional<size_t> answersSent; ///< number of answers to a batch, if not one to each statement
+    /// Refuses begins, but a repeated answer makes them look done; the refusal is taken for that of the next statement.
+    bool hidesRefusedBegin = false;
     bool exhaustsLinks = false; ///< its links may carry no more after an answer
     /// If set, the connection breaks at the next statement of this kind, before it runs.
     std::optional<StatementKind> breakAt;
