Count lent tokens once if the network delivers their message twice

The network may deliver a datagram twice. Each answer to a request for tokens added its tokens, also one that had been received before, so that an organisation could exceed its limit.

--- a/src/Statements/RequestAdmission.cpp
+++ b/src/Statements/RequestAdmission.cpp
@@ -9,6 +9,8 @@
 
 // Number of VMs that may collect the tokens of an organisation; the second and third replace a VM that does not answer.
 static constexpr size_t collectorsPerOrganisation = 3;
+// Number of answers among which repetitions are found. A VM gets at most some hundred answers per second.
+static constexpr size_t maxRecentReplies = 1000;
 
 RequestAdmission::RequestAdmission(LimitShares& shares, Timers& timers, PeerTransport& transport, VmId ownVm,
     DataCentre dataCentre, RequestAdmissionSettings settings, uint64_t seed)
@@ -199,8 +201,21 @@
     this->transport.send(sender, TokenReply { request.requestId, request.organisation, lent });
 }
 
+bool RequestAdmission::isFirstReply(const std::string& sender, uint64_t requestId)
+{
+    const std::pair<std::string, uint64_t> received { sender, requestId };
+    if (std::find(this->recentReplies.begin(), this->recentReplies.end(), received) != this->recentReplies.end())
+        return false;
+    this->recentReplies.push_back(received);
+    if (this->recentReplies.size() > maxRecentReplies)
+        this->recentReplies.pop_front();
+    return true;
+}
+
 void RequestAdmission::handleTokenReply(const std::string& sender, const TokenReply& reply)
 {
+    if (!this->isFirstReply(sender, reply.requestId))
+        return;
     // Tokens that arrive after the time-out are valid too.
     this->shares.addBorrowed(reply.organisation, reply.lentMilliTokens);
     if (this->collector.handleReply(reply))
--- a/src/Statements/RequestAdmission.h
+++ b/src/Statements/RequestAdmission.h
@@ -13,6 +13,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace Lavendervane {
@@ -73,6 +74,8 @@
         std::string lastLender;
     };
 
+    /// Returns false for a repetition of an answer: the network may deliver a message twice.
+    bool isFirstReply(const std::string& sender, uint64_t requestId);
     std::vector<std::string> collectorsOf(const OrganisationId&);
     std::optional<std::string> chooseCollector(const OrganisationId&, const WaitQueue&);
     void requestFromCollector(const OrganisationId&, WaitQueue&, const std::string& collector);
@@ -100,6 +103,7 @@
     TokenCollector collector;
     std::map<OrganisationId, WaitQueue> waitQueues;
     uint64_t lastRequestId = 0;
+    std::deque<std::pair<std::string, uint64_t>> recentReplies; ///< senders and request IDs
 };
 
 } // namespace Lavendervane
--- a/tests/Statements/RequestAdmissionTest.cpp
+++ b/tests/Statements/RequestAdmissionTest.cpp
@@ -20,6 +20,7 @@
     ManualTimers timers;
     RandomGenerator random { 1 };
     uint32_t lossPercent = 0;
+    uint32_t duplicatePercent = 0; ///< messages that arrive twice, the second time 10 ms later
     size_t sent = 0; ///< number of messages
     std::map<std::string, std::function<void(const std::string&, const PeerMessage&)>> receivers;
 };
@@ -39,10 +40,13 @@
             return;
         // The sender may have been destroyed when the message arrives.
         Network& net = this->network;
-        net.timers.schedule(net.timers.now() + 1ms, [&net, sender = this->own, address, message] {
+        const auto deliver = [&net, sender = this->own, address, message] {
             if (const auto receiver = net.receivers.find(address); receiver != net.receivers.end())
                 receiver->second(sender, message);
-        });
+        };
+        net.timers.schedule(net.timers.now() + 1ms, deliver);
+        if (net.duplicatePercent && net.random.below(100) < net.duplicatePercent)
+            net.timers.schedule(net.timers.now() + 11ms, deliver);
     }
 
     void setListener(PeerListener*) override { }
@@ -228,6 +232,14 @@
     BOOST_TEST(this->admitted.size() >= 24U * 20U);
 }
 
+// Guards against tokens that are counted twice, because the network delivered the message that lends them twice.
+BOOST_AUTO_TEST_CASE(Load_FarBeyondLimitWithDuplicates_KeepsLimitInEveryWindow)
+{
+    this->network.duplicatePercent = 20;
+    this->simulateLoad(20s, 400, { 0, 1, 2 });
+    BOOST_TEST(this->worstExcess() <= 1.0);
+}
+
 // After a restart of all VMs, requests within the limit may be refused only until tokens have accrued.
 BOOST_AUTO_TEST_CASE(Load_AllVmsRestart_IsAdmittedAgainWithinOneSecond)
 {
