Check prepared statements before the statements that set a connection up are made

A pooled connection takes it that the setup statements it has made are sent. A batch of another VM that executes a statement which it has not prepared was refused after they were made, so that the connection went back to the pool believed to have session values that the endpoint never got.

Send_BatchIsNotSentAfterAll_NextBatchSetsTheValues failed before.

--- a/src/Relay/PooledLink.cpp
+++ b/src/Relay/PooledLink.cpp
@@ -131,36 +131,43 @@
         this->answerNotRun(endpointIsLeaving);
         return;
     }
-    std::vector<Statement> batch = borrowed->makeSetupStatements(this->values);
-    if (!this->appendPreparedStatements(*borrowed, batch)) {
+    // The connection takes it for granted that statements are sent that it has made.
+    if (!this->hasPreparedStatements()) {
         this->answerNotRun("the batch executes a statement that has not been prepared");
         this->releaseConnection(borrowed, this->connection != nullptr);
         this->connection.reset();
         return;
     }
+    std::vector<Statement> batch = borrowed->makeSetupStatements(this->values);
+    this->appendPreparedStatements(*borrowed, batch);
     borrowed->exchange(batch, deadline, [self = this->shared_from_this(), borrowed](ExchangeResult answers) {
         self->onExchangeFinished(borrowed, std::move(answers));
     });
 }
 
+// False if the sender has not prepared one of the statements that it executes.
+bool PooledLink::hasPreparedStatements() const
+{
+    return std::all_of(this->statements.begin(), this->statements.end(), [this](const Statement& statement) {
+        return statement.kind != StatementKind::Execute || this->preparedStatements.count(statement.name) > 0;
+    });
+}
+
 // Appends the current statements to the batch. Prepared statements get the names that are shared by all links, and
-// those that the connection lacks are prepared first. Returns false if the sender has not prepared one of them.
-bool PooledLink::appendPreparedStatements(PooledConnection& borrowed, std::vector<Statement>& batch)
+// those that the connection lacks are prepared first.
+void PooledLink::appendPreparedStatements(PooledConnection& borrowed, std::vector<Statement>& batch)
 {
     std::vector<Statement> renamed = this->statements;
     for (Statement& statement : renamed) {
         if (statement.kind != StatementKind::Execute)
             continue;
-        const auto definition = this->preparedStatements.find(statement.name);
-        if (definition == this->preparedStatements.end())
-            return false;
-        const uint32_t number = this->preparedNumbers.idOf(definition->second);
-        if (auto preparation = borrowed.makePrepareStatement(number, definition->second))
+        const PreparedStatement& definition = this->preparedStatements.at(statement.name);
+        const uint32_t number = this->preparedNumbers.idOf(definition);
+        if (auto preparation = borrowed.makePrepareStatement(number, definition))
             batch.push_back(std::move(*preparation));
         statement.name = preparedName(number);
     }
     batch.insert(batch.end(), renamed.begin(), renamed.end());
-    return true;
 }
 
 void PooledLink::onExchangeFinished(const std::shared_ptr<PooledConnection>& borrowed, ExchangeResult result)
--- a/src/Relay/PooledLink.h
+++ b/src/Relay/PooledLink.h
@@ -38,7 +38,8 @@
     size_t applySessionStatements(const std::vector<Statement>&);
     bool mayBeSent() const;
     void onConnectionAcquired(const AcquireResult&, Instant deadline);
-    bool appendPreparedStatements(PooledConnection&, std::vector<Statement>& batch);
+    bool hasPreparedStatements() const;
+    void appendPreparedStatements(PooledConnection&, std::vector<Statement>& batch);
     void onExchangeFinished(const std::shared_ptr<PooledConnection>&, ExchangeResult);
     void answerNotRun(const std::string& reason);
     void answer(std::vector<EndpointAnswer>);
--- a/tests/Relay/PooledLinkTest.cpp
+++ b/tests/Relay/PooledLinkTest.cpp
@@ -94,4 +94,26 @@
     BOOST_TEST(this->connector.database("a").receivedStatements.back() == "");
 }
 
+// Guards against session values that a connection is believed to have, although the batch that sets them was not sent.
+BOOST_AUTO_TEST_CASE(Send_BatchIsNotSentAfterAll_NextBatchSetsTheValues)
+{
+    RelayFleet::Listener listener;
+    const auto link = this->open("desk", listener);
+    this->timers.advance(20ms);
+    Statement set = makeProxyStatement(StatementKind::SetValue);
+    set.name = "n";
+    set.text = "v";
+    Statement unknown = makeProxyStatement(StatementKind::Execute);
+    unknown.name = "p1";
+    unknown.text = "x";
+    link->send({ set, unknown }, this->timers.now() + 800ms);
+    this->timers.advance(20ms);
+    BOOST_REQUIRE_EQUAL(listener.answers.size(), 1U);
+    BOOST_TEST((listener.answers.back().back().code == AnswerCode::Busy));
+    this->send(*link, StatementKind::Read);
+    this->timers.advance(20ms);
+    BOOST_TEST(this->connector.database("a").receivedStatements == (std::vector<std::string> { "set n=v", "" }),
+        boost::test_tools::per_element());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
