--- a/tests/Adapter/SettingsAndRowsTest.cpp
+++ b/tests/Adapter/SettingsAndRowsTest.cpp
@@ -71,6 +71,17 @@
         BOOST_TEST(!decodeBase64(text), text);
 }
 
+// Guards against a table that is read in part, because the field is written with other blanks than expected, or only
+// looks like the field.
+BOOST_AUTO_TEST_CASE(DecodeStoreRows_MoreRowsFollow_SaysSo)
+{
+    BOOST_TEST(decodeStoreRows(R"({"rows":[],"has_more":true})").hasMore);
+    BOOST_TEST(decodeStoreRows(R"({ "has_more": true, "rows": [] })").hasMore);
+    BOOST_TEST(!decodeStoreRows(R"({"rows":[],"has_more":false})").hasMore);
+    BOOST_TEST(!decodeStoreRows(R"({"rows":[{"key":"a","has_more":true}]})").hasMore);
+    BOOST_TEST(!decodeStoreRows(R"({"rows":[]})").hasMore);
+}
+
 // Guards against one malformed row that makes the whole answer unusable.
 BOOST_AUTO_TEST_CASE(DecodeStoreRows_SomeRowsMalformed_KeepsTheOthers)
 {
