--- a/src/Statements/RequestAdmission.cpp
+++ b/src/Statements/RequestAdmission.cpp
@@ -203,7 +203,7 @@
 
 bool RequestAdmission::isFirstReply(const std::string& sender, uint64_t requestId)
 {
-    const std::pair<std::string, uint64_t> received { sender, requestId };
+    const std::pair<uint64_t, std::string> received { requestId, sender };
     if (std::find(this->recentReplies.begin(), this->recentReplies.end(), received) != this->recentReplies.end())
         return false;
     this->recentReplies.push_back(received);
--- a/src/Statements/RequestAdmission.h
+++ b/src/Statements/RequestAdmission.h
@@ -103,7 +103,7 @@
     TokenCollector collector;
     std::map<OrganisationId, WaitQueue> waitQueues;
     uint64_t lastRequestId = 0;
-    std::deque<std::pair<std::string, uint64_t>> recentReplies; ///< senders and request IDs
+    std::deque<std::pair<uint64_t, std::string>> recentReplies; ///< request IDs and senders
 };
 
 } // namespace Lavendervane
