Begin transactions only on an answer that cannot be a repetition

A success of BEGIN has no signature, so that a repeated answer to an earlier BEGIN could be taken for that of one which is refused.

The begin of a caller's transaction asks for an answer that no earlier one of the connection equals: the first with its state, or one with a later position of the log. Any other ends the connection, nothing of the transaction has been sent, and the begin is tried on another one. The request is part of a relayed batch; a VM of an older version ignores it.

Write_BeginRefusedAfterAnEarlierBeginIsRepeated_IsNotSentOrInDoubt failed before.

--- a/src/Relay/RelayMessages.cpp
+++ b/src/Relay/RelayMessages.cpp
@@ -54,7 +54,8 @@
 static Json encodeStatement(const Statement& statement)
 {
     return Json::array({ static_cast<uint64_t>(statement.kind), statement.id, statement.text, statement.name,
-        static_cast<uint64_t>(statement.effect), statement.term, encodePosition(statement.requiredPosition) });
+        static_cast<uint64_t>(statement.effect), statement.term, encodePosition(statement.requiredPosition),
+        statement.needsUniqueAnswer });
 }
 
 static Statement decodeStatement(const Json& json)
@@ -67,6 +68,8 @@
     statement.effect = decodeEnumeration(json.at(4), PreparedEffect::Write);
     statement.term = decodeUnsigned(json.at(5));
     statement.requiredPosition = decodeOptionalPosition(json.at(6));
+    // Older program versions do not send the field.
+    statement.needsUniqueAnswer = json.size() > 7 && json.at(7).get<bool>();
     return statement;
 }
 
--- a/src/Statements/AnswerMatcher.cpp
+++ b/src/Statements/AnswerMatcher.cpp
@@ -35,7 +35,7 @@
 void AnswerMatcher::expect(const std::vector<Statement>& statements)
 {
     for (const Statement& statement : statements)
-        this->expected.push_back({ statement.kind, digest(statement.id) });
+        this->expected.push_back({ statement.kind, digest(statement.id), statement.needsUniqueAnswer });
 }
 
 AnswerMatcher::Verdict AnswerMatcher::match(const EndpointAnswer& answer)
@@ -64,17 +64,14 @@
 
 AnswerMatcher::Verdict AnswerMatcher::matchSuccess(const EndpointAnswer& answer)
 {
-    const auto [kind, statementId] = this->expected.front();
+    const auto [kind, statementId, needsUniqueAnswer] = this->expected.front();
     if (needsSignature(kind) && answer.signature.empty())
         return this->ignoreIfRepeated(answer, "the endpoint reported a success without its signature");
     if (answer.state != stateAfterSuccess(kind, this->state))
         return this->ignoreIfRepeated(answer, "the endpoint reported a success with the state of another transaction");
-    if (!answer.signature.empty())
-        this->signedAnswers.push_back({ digest(answer.signature), digest(answer.result), statementId });
-    else if (const UnsignedAnswer received { digest(answer.result), answer.state };
-             std::find(this->unsignedAnswers.begin(), this->unsignedAnswers.end(), received)
-             == this->unsignedAnswers.end())
-        this->unsignedAnswers.push_back(received);
+    if (needsUniqueAnswer && this->mayRepeatUnsigned(answer))
+        return this->contradict("the answer to a begin may repeat an earlier one");
+    this->remember(answer, statementId);
     // A status has no signature, so that an old one cannot be told from a new one.
     if (kind == StatementKind::Status || kind == StatementKind::StepDown
         || this->signedAnswers.size() >= maxSignedAnswers)
@@ -103,13 +100,39 @@
 // would not be equal.
 AnswerMatcher::Verdict AnswerMatcher::ignoreIfRepeated(const EndpointAnswer& answer, const char* why)
 {
-    const bool isRepeated = answer.code == AnswerCode::Done && answer.signature.empty()
-        && std::find(this->unsignedAnswers.begin(), this->unsignedAnswers.end(),
-               UnsignedAnswer { digest(answer.result), answer.state })
-            != this->unsignedAnswers.end();
+    const bool isRepeated
+        = answer.code == AnswerCode::Done && answer.signature.empty() && this->findUnsigned(answer) != nullptr;
     return isRepeated ? Verdict::Repetition : this->contradict(why);
 }
 
+AnswerMatcher::UnsignedAnswer* AnswerMatcher::findUnsigned(const EndpointAnswer& answer)
+{
+    const auto found = std::find_if(this->unsignedAnswers.begin(), this->unsignedAnswers.end(),
+        [&answer, result = digest(answer.result)](
+            const UnsignedAnswer& known) { return known.result == result && known.state == answer.state; });
+    return found == this->unsignedAnswers.end() ? nullptr : &*found;
+}
+
+// A position beyond those of all earlier answers shows that the answer is new.
+bool AnswerMatcher::mayRepeatUnsigned(const EndpointAnswer& answer)
+{
+    const UnsignedAnswer* known = answer.signature.empty() ? this->findUnsigned(answer) : nullptr;
+    return known && !(answer.position && known->position && *known->position < *answer.position);
+}
+
+void AnswerMatcher::remember(const EndpointAnswer& answer, uint64_t statementId)
+{
+    if (!answer.signature.empty()) {
+        this->signedAnswers.push_back({ digest(answer.signature), digest(answer.result), statementId });
+        return;
+    }
+    UnsignedAnswer* known = this->findUnsigned(answer);
+    if (!known)
+        this->unsignedAnswers.push_back({ digest(answer.result), answer.state, answer.position });
+    else if (!known->position || (answer.position && *known->position < *answer.position))
+        known->position = answer.position;
+}
+
 AnswerMatcher::Verdict AnswerMatcher::contradict(const char* why)
 {
     this->reason = why;
--- a/src/Statements/AnswerMatcher.h
+++ b/src/Statements/AnswerMatcher.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -38,6 +39,7 @@
     struct ExpectedAnswer {
         StatementKind kind = StatementKind::Malformed;
         uint64_t statementId = 0; ///< digest
+        bool needsUniqueAnswer = false;
     };
 
     /// Digests of an answer that the endpoint has signed.
@@ -51,10 +53,12 @@
     struct UnsignedAnswer {
         uint64_t result = 0; ///< digest
         TransactionState state = TransactionState::Idle;
-
-        friend bool operator==(const UnsignedAnswer&, const UnsignedAnswer&) = default;
+        std::optional<LogPosition> position; ///< newest position of those that are equal
     };
 
+    UnsignedAnswer* findUnsigned(const EndpointAnswer&);
+    bool mayRepeatUnsigned(const EndpointAnswer&);
+    void remember(const EndpointAnswer&, uint64_t statementId);
     Verdict contradict(const char* why);
     Verdict ignoreIfRepeated(const EndpointAnswer&, const char* why);
     Verdict matchKnownSignature(const SignedAnswer& earlier, const EndpointAnswer&);
@@ -63,7 +67,7 @@
 
     std::deque<ExpectedAnswer> expected; ///< in the order in which the statements were sent
     std::vector<SignedAnswer> signedAnswers;
-    std::vector<UnsignedAnswer> unsignedAnswers; ///< without duplicates
+    std::vector<UnsignedAnswer> unsignedAnswers; ///< one for each result and state
     std::vector<uint64_t> errors; ///< digests of the errors received
     TransactionState state = TransactionState::Idle; ///< after the last answer
     bool isExhausted = false;
--- a/src/Statements/CallerTransaction.cpp
+++ b/src/Statements/CallerTransaction.cpp
@@ -41,6 +41,7 @@
     const Instant sent = this->service.timers().now();
     std::vector<Statement> batch = connection->makeSetupStatements(this->values);
     Statement begin = this->operation->statement;
+    begin.needsUniqueAnswer = true;
     if (!begin.requiredPosition)
         begin.kind = StatementKind::Begin; // without a known position, only the primary may serve the transaction
     batch.push_back(begin);
--- a/tests/Adapter/RepeatedAnswerTest.cpp
+++ b/tests/Adapter/RepeatedAnswerTest.cpp
@@ -124,6 +124,23 @@
     BOOST_TEST((this->listener.failure || this->hasAnswered(3, AnswerCode::Done)));
 }
 
+// Guards against a write that runs outside a transaction, because its begin was refused, and is reported as refused.
+BOOST_AUTO_TEST_CASE(Write_BeginRefusedAfterAnEarlierBeginIsRepeated_IsNotSentOrInDoubt)
+{
+    Statement begin = makeStatement(StatementKind::Begin, "");
+    begin.needsUniqueAnswer = true;
+    this->exchange({ begin }, begunAnswer);
+    this->exchange({ makeStatement(StatementKind::Rollback, "") }, unsignedAnswer);
+    this->send({ begin });
+    this->write(begunAnswer);
+    if (!this->hasAnswered(3, AnswerCode::Done))
+        return;
+    // The endpoint runs the write by itself: the begin was refused before the write arrived.
+    this->send({ makeWrite("1") });
+    this->write(busyAnswer + signedAnswer("1"));
+    BOOST_TEST(!this->hasAnswered(4, AnswerCode::Busy));
+}
+
 // Guards against the answer to CONNECT, which may come again, as the result of a statement.
 BOOST_AUTO_TEST_CASE(Write_ReadyArrivesWithoutResult_IsNotTakenAsAnswered)
 {
--- a/tests/Relay/RelayMessagesTest.cpp
+++ b/tests/Relay/RelayMessagesTest.cpp
@@ -15,6 +15,7 @@
     statement.name = "p1";
     statement.effect = PreparedEffect::Write;
     statement.term = 4;
+    statement.needsUniqueAnswer = true;
     statement.requiredPosition = LogPosition { { 3, {} }, 1207 };
     EndpointAnswer answer;
     answer.code = AnswerCode::Lagging;
@@ -52,4 +53,14 @@
         BOOST_TEST(!decodeRelayMessage(text));
 }
 
+// Guards against VMs of two program versions that do not understand each other while one replaces the other.
+BOOST_AUTO_TEST_CASE(Decode_BatchOfOlderVersion_StatementNeedsNoUniqueAnswer)
+{
+    // Kind 3, link 7, 800 ms; one begin with empty id, text and name, effect 0, term 0 and no position.
+    const std::string bytes("\x84\x03\x07\x19\x03\x20\x81\x87\x00\x60\x60\x60\x00\x00\xf6", 15);
+    const auto batch = decodeRelayMessage(bytes);
+    BOOST_REQUIRE(batch);
+    BOOST_TEST((*batch == RelayMessage { RelayBatch { 7, 800, { makeProxyStatement(StatementKind::Begin) } } }));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/Statements/AnswerMatcherTest.cpp
+++ b/tests/Statements/AnswerMatcherTest.cpp
@@ -2,7 +2,9 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 using namespace Lavendervane;
@@ -115,6 +117,36 @@
     }
 }
 
+// Guards against a begin that was refused and is taken as done, because an earlier one was. Later positions show that
+// an answer is new.
+BOOST_AUTO_TEST_CASE(Begin_NeedsUniqueAnswer_OnlyLaterPositionsMatch)
+{
+    Statement begin = makeProxyStatement(StatementKind::Begin);
+    begin.needsUniqueAnswer = true;
+    struct Row {
+        std::optional<LogPosition> first;
+        std::optional<LogPosition> second;
+        Verdict verdict;
+    };
+    const auto position = [](uint64_t term, uint64_t number) { return LogPosition { { term, {} }, number }; };
+    for (const Row& row : { Row { position(1, 7), position(1, 8), Verdict::Matches },
+             Row { position(1, 7), position(2, 1), Verdict::Matches },
+             Row { position(1, 7), position(1, 7), Verdict::Contradiction },
+             Row { position(1, 7), position(1, 6), Verdict::Contradiction },
+             Row { {}, position(1, 7), Verdict::Contradiction }, Row { position(1, 7), {}, Verdict::Contradiction } }) {
+        AnswerMatcher fresh;
+        EndpointAnswer begun = success("", TransactionState::Open);
+        fresh.expect({ begin });
+        begun.position = row.first;
+        BOOST_TEST((fresh.match(begun) == Verdict::Matches));
+        fresh.expect({ makeProxyStatement(StatementKind::Rollback) });
+        BOOST_TEST((fresh.match(success("")) == Verdict::Matches));
+        fresh.expect({ begin });
+        begun.position = row.second;
+        BOOST_TEST((fresh.match(begun) == row.verdict));
+    }
+}
+
 // Guards against a connection that is given up, and a transaction that ends, for every answer that is repeated.
 BOOST_AUTO_TEST_CASE(UnsignedAnswer_ArrivesAgainWhereItDoesNotFit_IsARepetition)
 {
--- a/tests/Statements/CallerSessionTest.cpp
+++ b/tests/Statements/CallerSessionTest.cpp
@@ -329,6 +329,24 @@
     BOOST_TEST((caller->last().code == AnswerCode::InDoubt));
 }
 
+// Guards against statements of a caller that run outside its transaction, because its begin was refused unnoticed.
+BOOST_AUTO_TEST_CASE(Transaction_Begins_AsksForUniqueAnswer)
+{
+    auto caller = this->open("strong");
+    caller->send(StatementKind::Read, "READ x");
+    this->settle();
+    BOOST_TEST(!this->connector.database("a").lastBegin.needsUniqueAnswer);
+    for (const StatementKind begin : { StatementKind::Begin, StatementKind::BeginReadOnly }) {
+        caller->send(begin);
+        caller->send(StatementKind::Read, "READ x");
+        this->settle();
+        BOOST_TEST(this->connector.database("a").lastBegin.needsUniqueAnswer);
+        this->connector.database("a").lastBegin = {};
+        caller->send(StatementKind::Rollback);
+        this->settle();
+    }
+}
+
 // When a caller disconnects, its transaction must be rolled back. Otherwise its locks would remain, or the next session
 // on the connection would continue the transaction.
 BOOST_AUTO_TEST_CASE(Transaction_CallerDisconnects_IsRolledBack)
--- a/tests/Statements/FakeDatabases.cpp
+++ b/tests/Statements/FakeDatabases.cpp
@@ -86,6 +86,8 @@
     EndpointAnswer answer(const Statement& statement)
     {
         this->database.receivedStatements.push_back(describe(statement));
+        if (statement.kind == StatementKind::Begin || statement.kind == StatementKind::BeginReadOnly)
+            this->database.lastBegin = statement;
         EndpointAnswer reply;
         reply.position = this->database.position;
         if (this->database.hidesRefusedBegin && statement.kind == StatementKind::Begin) {
--- a/tests/Statements/FakeDatabases.h
+++ b/tests/Statements/FakeDatabases.h
@@ -30,6 +30,7 @@
     std::optional<StatementKind> breakAt;
     std::map<StatementKind, AnswerCode> refuseNext; ///< error code for the next statement of each kind
     std::vector<std::string> receivedStatements; ///< statements in text form, for example "begin", "READ x", "set x=1"
+    Statement lastBegin;
     std::vector<OrganisationId> openedOrganisations;
     size_t connections = 0;
 };
