--- a/tests/Integration/ChildProcess.cpp
+++ b/tests/Integration/ChildProcess.cpp
@@ -4,6 +4,7 @@
 
 #include <atomic>
 #include <csignal>
+#include <filesystem>
 #include <fstream>
 #include <sstream>
 #include <stdexcept>
@@ -15,7 +16,7 @@
 
 static std::string programPath(const std::string& program)
 {
-    return std::string(LAVENDERVANE_BINARY_DIR) + "/" + program;
+    return (std::filesystem::path(LAVENDERVANE_BINARY_DIR) / program).string();
 }
 
 static process::environment makeEnvironment(const std::map<std::string, std::string>& added)
--- a/tests/Integration/ChildProcess.h
+++ b/tests/Integration/ChildProcess.h
@@ -12,7 +12,8 @@
 /// A program of the build folder that a test runs. The destructor kills it.
 class ChildProcess {
 public:
-    /// Starts `program` from the build folder. Its standard output and standard error go to `logFile`.
+    /// Starts `program` from the build folder, or from an absolute path. Its standard output and standard error go to
+    /// `logFile`.
     ChildProcess(const std::string& program, const std::vector<std::string>& arguments,
         const std::map<std::string, std::string>& environment, const std::string& logFile);
     ~ChildProcess();
