--- a/tests/EntryProcess/CallerStandIn.cpp
+++ b/tests/EntryProcess/CallerStandIn.cpp
@@ -108,7 +108,7 @@
         if (isError)
             this->checker.addFigure("error between statements");
         else
-            this->checker.addViolation("UNPROMPTED", message);
+            this->checker.addViolation("UNPROMPTED", printable(message));
         this->closeSession();
         this->start();
         return;
@@ -124,7 +124,7 @@
     } else if (message.starts_with("READY ") && message.size() > 6 && this->answer.hasResult) {
         this->finishStatement(message[6]);
     } else {
-        this->checker.addViolation("UNPROMPTED", message);
+        this->checker.addViolation("UNPROMPTED", printable(message));
         this->checker.handleClosed(this->statement.id);
         this->closeSession();
         this->start();
@@ -295,8 +295,8 @@
         this->applySuccess(this->checker.handleSuccess(this->statement.id, this->answer.mac, this->answer.rows));
         const char expected = this->transaction && !ends ? 'T' : 'I';
         if (newState != expected) {
-            this->checker.addViolation(
-                "STATE", this->statement.id + " " + this->statement.text + " was answered with state " + newState);
+            this->checker.addViolation("STATE",
+                this->statement.id + " " + printable(this->statement.text) + " was answered with state " + newState);
             this->closeSession();
             this->start();
             return;
--- a/tests/EntryProcess/CallerStandIn.h
+++ b/tests/EntryProcess/CallerStandIn.h
@@ -34,7 +34,7 @@
     std::vector<boost::asio::ip::tcp::endpoint> vms;
     std::vector<CallerAccess> accesses;
     double abandonedStatements = 0.01; ///< share of the statements after which the caller closes its connection
-    std::chrono::milliseconds longestPause { 150 }; ///< between operations
+    std::chrono::milliseconds longestPause {}; ///< between operations
     FaultShares faults;
 };
 
--- a/tests/EntryProcess/EntryFleet.cpp
+++ b/tests/EntryProcess/EntryFleet.cpp
@@ -94,6 +94,7 @@
     this->renewRows();
     for (size_t index = 0; index < dataCentres.size(); ++index)
         this->startVm(dataCentres[index], this->ipPrefix + std::to_string(11 + index));
+    this->callerSettings.longestPause = settings.longestPause;
     this->callerSettings.faults = settings.faults;
     for (size_t index = 0; index < settings.callers; ++index)
         this->callers.push_back(
--- a/tests/EntryProcess/EntryFleet.h
+++ b/tests/EntryProcess/EntryFleet.h
@@ -23,6 +23,7 @@
     uint64_t seed = 1;
     size_t callers = 40;
     std::chrono::milliseconds duration { 12'000 }; ///< time in which callers start operations
+    std::chrono::milliseconds longestPause { 150 }; ///< of callers between operations
     FaultShares faults;
 };
 
--- a/tests/EntryProcess/EntryProcessTest.cpp
+++ b/tests/EntryProcess/EntryProcessTest.cpp
@@ -4,6 +4,8 @@
 
 #include <cstdlib>
 #include <iostream>
+#include <map>
+#include <sstream>
 #include <string>
 
 using namespace Lavendervane::EntryProcess;
@@ -24,14 +26,39 @@
     return text ? text : missing;
 }
 
+static uint64_t readNumber(const char* name, uint64_t missing)
+{
+    return std::stoull(readEnvironment(name, std::to_string(missing)));
+}
+
+// Reads shares in the form "repeatedAnswers=0.1 oddRows=0.3".
+static FaultShares readFaults(const FaultShares& missing)
+{
+    static const std::map<std::string, double FaultShares::*> names {
+        { "repeatedAnswers", &FaultShares::repeatedAnswers },
+        { "busyRefusals", &FaultShares::busyRefusals },
+        { "oddRows", &FaultShares::oddRows },
+        { "oddTexts", &FaultShares::oddTexts },
+        { "smallSegments", &FaultShares::smallSegments },
+    };
+    std::istringstream text(readEnvironment("LAVENDERVANE_FAULTS", ""));
+    FaultShares faults = text.str().empty() ? missing : FaultShares {};
+    for (std::string entry; text >> entry;) {
+        const size_t equals = entry.find('=');
+        faults.*names.at(entry.substr(0, equals)) = std::stod(entry.substr(equals + 1));
+    }
+    return faults;
+}
+
 static void runSeed(const Scenario& scenario, uint64_t seed)
 {
     FleetSettings settings;
     settings.program = readEnvironment("LAVENDERVANE_ENTRYD", settings.program);
     settings.seed = seed;
-    settings.callers = std::stoul(readEnvironment("LAVENDERVANE_CALLERS", std::to_string(settings.callers)));
-    settings.duration = std::chrono::seconds(std::stoul(readEnvironment("LAVENDERVANE_SECONDS", "12")));
-    settings.faults = scenario.faults;
+    settings.callers = readNumber("LAVENDERVANE_CALLERS", settings.callers);
+    settings.duration = std::chrono::seconds(readNumber("LAVENDERVANE_SECONDS", 12));
+    settings.longestPause = std::chrono::milliseconds(readNumber("LAVENDERVANE_PAUSE_MS", 150));
+    settings.faults = readFaults(scenario.faults);
     EntryFleet fleet(settings);
     const bool isReady = fleet.waitUntilReady();
     if (isReady)
--- a/tests/EntryProcess/PromiseChecker.cpp
+++ b/tests/EntryProcess/PromiseChecker.cpp
@@ -9,7 +9,7 @@
 // Codes with which a caller is promised that nothing of its attempt is kept.
 static const std::set<std::string> promiseCodes { "BUSY", "ABORTED", "LAGGING", "READONLY", "WRONGNODE", "TOOMANY" };
 
-static std::string printable(const std::string& text)
+std::string printable(const std::string& text)
 {
     static constexpr size_t maxLength = 160;
     static constexpr char digits[] = "0123456789abcdef";
--- a/tests/EntryProcess/PromiseChecker.h
+++ b/tests/EntryProcess/PromiseChecker.h
@@ -47,6 +47,9 @@
     uint64_t position = 0; ///< position that the endpoint had applied
 };
 
+/// Returns the start of a text in quotes, with the bytes that are not printable in hexadecimal.
+std::string printable(const std::string& text);
+
 /// Which commits a read must see.
 enum class RouteType { Primary, BoundedStaleness, OwnWrites };
 
