--- a/tests/EntryProcess/PromiseCheckerTest.cpp
+++ b/tests/EntryProcess/PromiseCheckerTest.cpp
@@ -69,7 +69,7 @@
         std::function<void(PromiseChecker&)> act;
     };
     const auto run
-        = [](EndpointRun changed) { return [changed](PromiseChecker& checker) { checker.handleRun(changed); }; };
+        = [](const EndpointRun& changed) { return [changed](PromiseChecker& checker) { checker.handleRun(changed); }; };
     const auto changedRun = [&run](const SentStatement& sent, const std::function<void(EndpointRun&)>& change) {
         EndpointRun changed = makeRun(sent);
         change(changed);
