--- a/tests/EntryProcess/CallerStandIn.cpp
+++ b/tests/EntryProcess/CallerStandIn.cpp
@@ -244,6 +244,7 @@
     sent.group = this->access->group;
     sent.organisation = this->access->organisation;
     sent.values = this->values;
+    sent.database = this->access->database;
     sent.requiredPosition = this->transaction
         ? this->transactionPosition
         : this->checker.requiredPosition(sent.group, this->access->type, this->access->maxStaleness, this->ownPosition);
--- a/tests/EntryProcess/PromiseChecker.cpp
+++ b/tests/EntryProcess/PromiseChecker.cpp
@@ -152,7 +152,8 @@
     const bool reads = run.shape ? !run.shape->writes : run.text.starts_with("READ ");
     if (reads && run.position < sent.requiredPosition)
         this->addViolation("STALE",
-            where + " at " + std::to_string(run.position) + ", required " + std::to_string(sent.requiredPosition));
+            where + " at " + std::to_string(run.position) + ", required " + std::to_string(sent.requiredPosition)
+                + " by " + sent.database);
     this->checkTransaction(run, statement);
 }
 
--- a/tests/EntryProcess/PromiseChecker.h
+++ b/tests/EntryProcess/PromiseChecker.h
@@ -32,6 +32,7 @@
     std::optional<PreparedShape> shape; ///< of an execution
     SessionValues values; ///< session values that were acknowledged to the caller
     uint64_t requiredPosition = 0; ///< position that a read must see
+    std::string database; ///< with which the session was opened
 };
 
 /// Statement that an endpoint has run.
--- a/tests/EntryProcess/PromiseCheckerTest.cpp
+++ b/tests/EntryProcess/PromiseCheckerTest.cpp
@@ -13,7 +13,7 @@
 
 static SentStatement makeSent(const std::string& id, const std::string& text, uint64_t transaction = 0)
 {
-    SentStatement sent { id, text, "stock", "desk", transaction, {}, {}, 0 };
+    SentStatement sent { id, text, "stock", "desk", transaction, {}, {}, 0, "stock-own" };
     if (text.starts_with("EXECUTE "))
         sent.shape = PreparedShape { true, "q" };
     return sent;
