Answer statements of transactions that are pending at an endpoint that left when a stop ends

The end of a stop interrupts the connections of the endpoints that are known. A statement of a transaction that was under way at one that has since left got no answer: its session was cut with the process.

Stop_CommitPendingAtEndpointThatLeft_IsAnsweredAsInDoubt failed before.

--- a/src/Statements/CallerOperation.cpp
+++ b/src/Statements/CallerOperation.cpp
@@ -421,10 +421,14 @@
     this->answer(final);
 }
 
-void CallerSession::refuseOperation(const std::string& reason)
+void CallerSession::endPendingStatement(const std::string& reason)
 {
-    if (!this->operation)
+    if (!this->operation) {
+        const auto connection = this->isStatementPending && this->transaction ? this->transaction->connection : nullptr;
+        if (connection && connection->isAlive())
+            connection->closeWithoutAnswer(reason);
         return;
+    }
     if (this->operation->isSent && this->operation->writes) {
         // The connection is not in any pool that could interrupt it, because its endpoint has left.
         this->operation->mayHaveRun = true;
--- a/src/Statements/CallerSession.h
+++ b/src/Statements/CallerSession.h
@@ -41,8 +41,8 @@
     /// the answer.
     void checkTransaction();
 
-    /// Answers a statement whose operation has not ended: as not run, or as in doubt if it is a write that was sent.
-    void refuseOperation(const std::string& reason);
+    /// Answers the pending statement, if there is one: as not run, or as in doubt if it may have run.
+    void endPendingStatement(const std::string& reason);
 
     bool hasOpenTransaction() const { return this->transaction && !this->transaction->failed; }
 
--- a/src/Statements/PooledConnection.h
+++ b/src/Statements/PooledConnection.h
@@ -65,6 +65,9 @@
     /// Closes the connection. The endpoint rolls back an open transaction.
     void close();
 
+    /// Closes the connection and reports the pending exchange as unanswered.
+    void closeWithoutAnswer(const std::string& reason);
+
 private:
     friend class EndpointPool;
 
@@ -84,10 +87,7 @@
     void completeExchange(ExchangeResult);
     void scheduleTimeout(Instant deadline);
 
-    /// Closes the connection and reports the pending exchange as unanswered.
-    void closeWithoutAnswer(const std::string& reason);
-
-    /// As `closeWithoutAnswer`, because of what was received.
+    /// As `closeWithoutAnswer`, because of what was received, and reports that the connection broke.
     void giveUp(const std::string& reason);
     void cancelTimer();
 
--- a/src/Statements/StatementService.cpp
+++ b/src/Statements/StatementService.cpp
@@ -188,7 +188,7 @@
     }
     const auto all = this->sessions;
     for (CallerSession* session : all)
-        session->refuseOperation("the proxy is stopping");
+        session->endPendingStatement("the proxy is stopping");
     this->relay.shutDown();
 }
 
--- a/tests/Statements/CallerSessionTest.cpp
+++ b/tests/Statements/CallerSessionTest.cpp
@@ -703,6 +703,26 @@
     BOOST_TEST(caller->closed);
 }
 
+// Guards against a statement of a transaction that is cut without an answer, because its endpoint has since left.
+BOOST_AUTO_TEST_CASE(Stop_CommitPendingAtEndpointThatLeft_IsAnsweredAsInDoubt)
+{
+    auto caller = this->open("strong");
+    caller->send(StatementKind::Begin);
+    caller->send(StatementKind::Write, "WRITE x 1");
+    this->settle();
+    this->connector.database("a").silent = true;
+    caller->send(StatementKind::Commit);
+    this->settle();
+    BOOST_REQUIRE(this->connector.database("a").receivedStatements.back() == "commit");
+    this->endpoints.erase(this->endpoints.begin());
+    this->publish();
+    this->service->closeIdleSessions();
+    this->service->shutDown();
+    BOOST_REQUIRE(caller->answers.size() == 3U);
+    BOOST_TEST((caller->last().code == AnswerCode::InDoubt));
+    BOOST_TEST(caller->closed);
+}
+
 // A VM that reaches no primary must close its sessions, so that callers reconnect to other VMs. It must accept callers
 // again once it reaches a primary.
 BOOST_AUTO_TEST_CASE(Stop_VmIsIsolated_SessionsCloseUntilPrimaryIsReachable)
