--- a/tests/EntryProcess/CallerStandIn.cpp
+++ b/tests/EntryProcess/CallerStandIn.cpp
@@ -33,11 +33,19 @@
 
 void CallerStandIn::wait(std::chrono::microseconds duration, std::function<void()> action)
 {
+    // A wait whose time has passed may be delivered after it was cancelled.
     this->timer.expires_after(duration);
-    this->timer.async_wait([action = std::move(action)](const boost::system::error_code& error) {
-        if (!error)
-            action();
-    });
+    this->timer.async_wait(
+        [this, number = ++this->waitNumber, action = std::move(action)](const boost::system::error_code& error) {
+            if (!error && number == this->waitNumber)
+                action();
+        });
+}
+
+void CallerStandIn::cancelWait()
+{
+    ++this->waitNumber;
+    this->timer.cancel();
 }
 
 void CallerStandIn::openSession()
@@ -59,7 +67,7 @@
 
 void CallerStandIn::closeSession()
 {
-    this->timer.cancel();
+    this->cancelWait();
     if (this->channel)
         this->channel->close();
     this->channel.reset();
@@ -288,7 +296,7 @@
 
 void CallerStandIn::finishStatement(char newState)
 {
-    this->timer.cancel();
+    this->cancelWait();
     this->isWaitingForAnswer = false;
     this->state = newState;
     const bool ends = this->kind == Kind::Commit || this->kind == Kind::Rollback;
--- a/tests/EntryProcess/CallerStandIn.h
+++ b/tests/EntryProcess/CallerStandIn.h
@@ -81,12 +81,14 @@
     void abandon();
     /// Calls `action` after the duration, unless the session is closed before or another wait begins.
     void wait(std::chrono::microseconds, std::function<void()> action);
+    void cancelWait();
 
     boost::asio::io_context& context;
     const CallerSettings& settings;
     PromiseChecker& checker;
     SeededRandom random;
     boost::asio::steady_timer timer; ///< of pauses and time limits
+    uint64_t waitNumber = 0; ///< of the wait that is under way
     bool isStopping = false;
 
     std::shared_ptr<WireChannel> channel; ///< null while there is no session
