--- a/src/Statements/AnswerMatcher.cpp
+++ b/src/Statements/AnswerMatcher.cpp
@@ -75,21 +75,21 @@
     // A status has no signature, so that an old one cannot be told from a new one.
     if (kind == StatementKind::Status || kind == StatementKind::StepDown
         || this->signedAnswers.size() >= maxSignedAnswers)
-        this->isExhausted = true;
+        this->acceptsMore = false;
     this->state = answer.state;
     this->expected.pop_front();
     return Verdict::Matches;
 }
 
-// The first error of its kind cannot be a repetition. A second one can, and must not tell of a statement that runs that
-// it has not run.
+// The first error of its kind cannot repeat an earlier one. A second one can, and must not say of a statement which
+// runs that it has not run.
 AnswerMatcher::Verdict AnswerMatcher::matchError(const EndpointAnswer& answer)
 {
     const uint64_t error = digest(std::string(toString(answer.code)) + " " + answer.message);
     if (std::find(this->errors.begin(), this->errors.end(), error) != this->errors.end())
         return this->contradict("the endpoint sent an error again that it had sent before");
     this->errors.push_back(error);
-    this->isExhausted = true;
+    this->acceptsMore = false;
     this->state = answer.state;
     this->expected.pop_front();
     return Verdict::Matches;
--- a/src/Statements/AnswerMatcher.h
+++ b/src/Statements/AnswerMatcher.h
@@ -32,13 +32,14 @@
     /// Returns why the last answer was a contradiction.
     const std::string& contradiction() const { return this->reason; }
 
-    /// False once a repetition of an answer could be taken for the answer to a further statement.
-    bool mayCarryMore() const { return !this->isExhausted; }
+    /// False once a repetition of an answer could be taken for the answer to a further statement: after an error, after
+    /// a status, and when as many signed answers have been received as are remembered.
+    bool mayCarryMore() const { return this->acceptsMore; }
 
 private:
     struct ExpectedAnswer {
         StatementKind kind = StatementKind::Malformed;
-        uint64_t statementId = 0; ///< digest
+        uint64_t statementId = 0; ///< digest; shows that a caller uses an identifier twice
         bool needsUniqueAnswer = false;
     };
 
@@ -70,7 +71,7 @@
     std::vector<UnsignedAnswer> unsignedAnswers; ///< one for each result and state
     std::vector<uint64_t> errors; ///< digests of the errors received
     TransactionState state = TransactionState::Idle; ///< after the last answer
-    bool isExhausted = false;
+    bool acceptsMore = true;
     std::string reason;
 };
 
--- a/src/Statements/PooledConnection.cpp
+++ b/src/Statements/PooledConnection.cpp
@@ -30,6 +30,20 @@
         this->link->close();
 }
 
+static ExchangeResult makeTimedOut()
+{
+    ExchangeResult result;
+    result.timedOut = true;
+    return result;
+}
+
+static ExchangeResult makeFailed(const std::string& reason)
+{
+    ExchangeResult result;
+    result.failure = reason;
+    return result;
+}
+
 // Counts the leading statements of a batch that transfer session values and prepared statements to the connection.
 static size_t countSetupStatements(const std::vector<Statement>& statements)
 {
@@ -65,7 +79,7 @@
             auto unanswered = std::exchange(this->callback, nullptr);
             this->close();
             if (unanswered)
-                unanswered({ {}, true, "" });
+                unanswered(makeTimedOut());
             return;
         }
         this->scheduleTimeout(deadline);
@@ -85,7 +99,7 @@
 {
     const auto self = this->shared_from_this();
     this->close();
-    this->completeExchange({ {}, false, reason });
+    this->completeExchange(makeFailed(reason));
 }
 
 static bool isSubset(const std::map<std::string, std::string>& part, const std::map<std::string, std::string>& whole)
@@ -184,7 +198,9 @@
         if (answers.back().position)
             this->owningPool->recordPosition(*answers.back().position);
     }
-    this->completeExchange({ std::move(answers), false, "" });
+    ExchangeResult result;
+    result.answers = std::move(answers);
+    this->completeExchange(std::move(result));
 }
 
 void PooledConnection::linkIgnoredRepetition()
@@ -202,7 +218,7 @@
         this->owningPool->reportBroken(*this, previous == State::Waiting, message);
     if (this->owningPool)
         this->owningPool->handleConnectionFailed(*this, failure, code, message, previous == State::Opening);
-    this->completeExchange({ {}, false, message });
+    this->completeExchange(makeFailed(message));
 }
 
 void PooledConnection::completeExchange(ExchangeResult result)
