Keep the newest position of a session's commits

The position of the last commit was kept, also where an earlier one was newer, so that a session could miss a commit of its own. Read_AfterWritesWithPositionsGoingBack_RequiresTheNewest failed before.

--- a/src/Statements/CallerOperation.cpp
+++ b/src/Statements/CallerOperation.cpp
@@ -340,8 +340,7 @@
     }
     if (reply.code == AnswerCode::Done && running.writes) {
         this->recordPosition(running.route, sent, reply);
-        if (reply.position)
-            this->lastCommits[running.route.group] = *reply.position;
+        this->recordCommit(running.route.group, reply);
     }
     if (connection->pool())
         connection->pool()->release(connection);
--- a/src/Statements/CallerSession.cpp
+++ b/src/Statements/CallerSession.cpp
@@ -162,6 +162,14 @@
         group->freshness().record(queryTime, *reply.position);
 }
 
+void CallerSession::recordCommit(const GroupId& group, const EndpointAnswer& reply)
+{
+    if (!reply.position)
+        return;
+    LogPosition& newest = this->lastCommits[group];
+    newest = std::max(newest, *reply.position);
+}
+
 void CallerSession::answer(const CallerAnswer& reply)
 {
     this->isStatementPending = false;
--- a/src/Statements/CallerSession.h
+++ b/src/Statements/CallerSession.h
@@ -142,6 +142,7 @@
     std::vector<Statement> withSetupStatements(const std::shared_ptr<PooledConnection>&, const Statement&);
     bool isWrite(const Statement&) const;
     void recordPosition(const SessionRoute&, Instant queryTime, const EndpointAnswer&);
+    void recordCommit(const GroupId&, const EndpointAnswer&);
     void answer(const CallerAnswer&);
     void refuse(AnswerCode, const std::string& reason);
     void logFailure(const CallerAnswer&, const std::string& reason) const;
@@ -156,7 +157,7 @@
     Instant currentArrival {};
     SessionValues values;
     std::map<std::string, PreparedStatement> preparedStatements;
-    std::map<GroupId, LogPosition> lastCommits; ///< position of this session's last commit in each group
+    std::map<GroupId, LogPosition> lastCommits; ///< newest position of this session's commits in each group
     std::optional<Operation> operation;
     std::optional<Transaction> transaction;
 };
--- a/src/Statements/CallerTransaction.cpp
+++ b/src/Statements/CallerTransaction.cpp
@@ -201,8 +201,7 @@
     }
     if (reply.code == AnswerCode::Done && wrote) {
         this->recordPosition(route, sent, reply);
-        if (reply.position)
-            this->lastCommits[route.group] = *reply.position;
+        this->recordCommit(route.group, reply);
     }
     this->endTransaction(reply.state != TransactionState::Idle);
     CallerAnswer toCaller { reply.code, std::move(reply.result), reply.message, TransactionState::Idle };
--- a/tests/Statements/CallerSessionTest.cpp
+++ b/tests/Statements/CallerSessionTest.cpp
@@ -79,6 +79,31 @@
         boost::test_tools::per_element());
 }
 
+// Guards against a session that loses sight of a commit of its own, because a later answer has an older position.
+BOOST_AUTO_TEST_CASE(Read_AfterWritesWithPositionsGoingBack_RequiresTheNewest)
+{
+    auto caller = this->open("own");
+    for (const uint64_t position : { 200U, 150U }) {
+        this->connector.database("a").position.position = position;
+        caller->send(StatementKind::Write, "WRITE x 1");
+        this->settle();
+        caller->send(StatementKind::Begin);
+        caller->send(StatementKind::Write, "WRITE x 2");
+        this->settle();
+        caller->send(StatementKind::Commit);
+        this->settle();
+    }
+    for (const char* replica : { "b", "c" })
+        this->connector.database(replica).position.position = 300;
+    this->connector.database("a").receivedStatements.clear();
+    caller->send(StatementKind::Read, "READ x");
+    this->settle();
+    const auto& b = this->connector.database("b").receivedStatements;
+    const auto& c = this->connector.database("c").receivedStatements;
+    BOOST_REQUIRE_EQUAL(b.size() + c.size(), 1U);
+    BOOST_TEST((b.empty() ? c : b).front() == "READ x after 1.202");
+}
+
 // A session must see its own commits, including when a replica serves the read.
 BOOST_AUTO_TEST_CASE(Read_AfterOwnWrite_RequiresPositionOfWrite)
 {
