--- a/tests/Adapter/MessageFramingTest.cpp
+++ b/tests/Adapter/MessageFramingTest.cpp
@@ -1,5 +1,6 @@
 #include "CallerServer.h"
 #include "ScriptedEndpoint.h"
+#include "Wire.h"
 
 #include "Statements/CallerLink.h"
 
@@ -118,6 +119,23 @@
         BOOST_TEST((statement == makeWrite("a\r")), statement.text);
 }
 
+// Guards against a long message that is cut, and against one over the limit that is taken.
+BOOST_FIXTURE_TEST_CASE(Caller_MessageOfTheSizeLimit_StatementArrivesWhole, CallerFixture)
+{
+    const std::string start = "QUERY 1 WRITE x ";
+    std::string text(maxMessageBytes - start.size(), 'a');
+    for (size_t index = 0; index < text.size(); index += 1000)
+        text[index] = index % 2000 ? '\r' : '\n';
+    const std::string message = start + text + "\r\n";
+    for (size_t sent = 0; sent < message.size(); sent += 50'000)
+        this->send(message.substr(sent, 50'000));
+    BOOST_REQUIRE_EQUAL(this->factory.statements.size(), 1U);
+    BOOST_TEST((this->factory.statements.front() == makeWrite(text)));
+    for (size_t sent = 0; sent <= message.size(); sent += 50'000)
+        this->send((start + "b" + message.substr(start.size())).substr(sent, 50'000));
+    BOOST_TEST(this->factory.statements.size() == 1U);
+}
+
 // Guards against a line feed in a row that makes the rest of the row a message of its own.
 BOOST_FIXTURE_TEST_CASE(Endpoint_RowHoldsAnyBytes_AnswerArrivesWhole, ScriptedEndpoint)
 {
