Keep connections of lagging replicas, ask for unique begins where answers were repeated

The log named the causes: every answer that a replica lags closed its connection, and every begin for which the log had not moved was tried on a new one.

A lagging answer is believed only for a statement that requires a position. One with a later position than those before is new, an earlier one is ignored, and an equal one is believed, after which the connection is not used again: if it was a repetition, a read has been tried elsewhere and its own answer meets a closed connection. Begins need a unique answer only at an endpoint that this VM has seen to repeat an answer; the record is shared by all its connections there.

--- a/src/Statements/AnswerMatcher.cpp
+++ b/src/Statements/AnswerMatcher.cpp
@@ -35,7 +35,8 @@
 void AnswerMatcher::expect(const std::vector<Statement>& statements)
 {
     for (const Statement& statement : statements)
-        this->expected.push_back({ statement.kind, digest(statement.id), statement.needsUniqueAnswer });
+        this->expected.push_back({ statement.kind, digest(statement.id), statement.needsUniqueAnswer,
+            statement.requiredPosition.has_value() });
 }
 
 AnswerMatcher::Verdict AnswerMatcher::match(const EndpointAnswer& answer)
@@ -64,16 +65,16 @@
 
 AnswerMatcher::Verdict AnswerMatcher::matchSuccess(const EndpointAnswer& answer)
 {
-    const auto [kind, statementId, needsUniqueAnswer] = this->expected.front();
-    if (needsSignature(kind) && answer.signature.empty())
+    const ExpectedAnswer& due = this->expected.front();
+    if (needsSignature(due.kind) && answer.signature.empty())
         return this->ignoreIfRepeated(answer, "the endpoint reported a success without its signature");
-    if (answer.state != stateAfterSuccess(kind, this->state))
+    if (answer.state != stateAfterSuccess(due.kind, this->state))
         return this->ignoreIfRepeated(answer, "the endpoint reported a success with the state of another transaction");
-    if (needsUniqueAnswer && this->mayRepeatUnsigned(answer))
+    if (due.needsUniqueAnswer && this->conduct->repeatsAnswers && this->mayRepeatUnsigned(answer))
         return this->contradict("the answer to a begin may repeat an earlier one");
-    this->remember(answer, statementId);
+    this->remember(answer, due.statementId);
     // A status has no signature, so that an old one cannot be told from a new one.
-    if (kind == StatementKind::Status || kind == StatementKind::StepDown
+    if (due.kind == StatementKind::Status || due.kind == StatementKind::StepDown
         || this->signedAnswers.size() >= maxSignedAnswers)
         this->acceptsMore = false;
     this->state = answer.state;
@@ -85,6 +86,8 @@
 // runs that it has not run.
 AnswerMatcher::Verdict AnswerMatcher::matchError(const EndpointAnswer& answer)
 {
+    if (answer.code == AnswerCode::Lagging)
+        return this->matchLagging(answer);
     const uint64_t error = digest(std::string(toString(answer.code)) + " " + answer.message);
     if (std::find(this->errors.begin(), this->errors.end(), error) != this->errors.end())
         return this->contradict("the endpoint sent an error again that it had sent before");
@@ -95,6 +98,22 @@
     return Verdict::Matches;
 }
 
+// Replicas lag often, so that their connections stay in use while their positions show that the answers are new. If one
+// that may be a repetition is believed, a read is tried elsewhere, and its own answer meets a closed connection.
+AnswerMatcher::Verdict AnswerMatcher::matchLagging(const EndpointAnswer& answer)
+{
+    if (!this->expected.front().hasRequiredPosition)
+        return this->contradict("the endpoint reported a missing position that no statement requires");
+    if (this->newestLagging && answer.position && *answer.position < *this->newestLagging)
+        return Verdict::Repetition;
+    if (!answer.position || answer.position == this->newestLagging)
+        this->acceptsMore = false;
+    this->newestLagging = answer.position;
+    this->state = answer.state;
+    this->expected.pop_front();
+    return Verdict::Matches;
+}
+
 // An unsigned success that belongs to no statement under way is harmless if it equals an earlier one: it repeats that
 // one, or belongs to a later statement for which that one was taken. If it had rows of another answer before it, it
 // would not be equal.
--- a/tests/Adapter/RepeatedAnswerTest.cpp
+++ b/tests/Adapter/RepeatedAnswerTest.cpp
@@ -129,16 +129,17 @@
 {
     Statement begin = makeStatement(StatementKind::Begin, "");
     begin.needsUniqueAnswer = true;
+    this->exchange({ makeRead("0") }, signedAnswer("0") + signedAnswer("0"));
     this->exchange({ begin }, begunAnswer);
     this->exchange({ makeStatement(StatementKind::Rollback, "") }, unsignedAnswer);
     this->send({ begin });
     this->write(begunAnswer);
-    if (!this->hasAnswered(3, AnswerCode::Done))
+    if (!this->hasAnswered(4, AnswerCode::Done))
         return;
     // The endpoint runs the write by itself: the begin was refused before the write arrived.
     this->send({ makeWrite("1") });
     this->write(busyAnswer + signedAnswer("1"));
-    BOOST_TEST(!this->hasAnswered(4, AnswerCode::Busy));
+    BOOST_TEST(!this->hasAnswered(5, AnswerCode::Busy));
 }
 
 // Guards against the answer to CONNECT, which may come again, as the result of a statement.
--- a/tests/Statements/AnswerMatcherTest.cpp
+++ b/tests/Statements/AnswerMatcherTest.cpp
@@ -135,6 +135,7 @@
              Row { position(1, 7), position(1, 6), Verdict::Contradiction },
              Row { {}, position(1, 7), Verdict::Contradiction }, Row { position(1, 7), {}, Verdict::Contradiction } }) {
         AnswerMatcher fresh;
+        fresh.recordRepetition();
         EndpointAnswer begun = success("", TransactionState::Open);
         fresh.expect({ begin });
         begun.position = row.first;
@@ -187,6 +188,49 @@
     BOOST_TEST((this->matcher.match(error(AnswerCode::Busy, "i-1")) == Verdict::Contradiction));
 }
 
+// Guards against connections that are given up because an endpoint that answers once may not have.
+BOOST_AUTO_TEST_CASE(Begin_EndpointHasNotRepeatedAnswers_EqualPositionMatches)
+{
+    Statement begin = makeProxyStatement(StatementKind::Begin);
+    begin.needsUniqueAnswer = true;
+    for (int round = 0; round < 2; ++round) {
+        this->expect(StatementKind::Rollback);
+        BOOST_TEST((this->matcher.match(success("")) == Verdict::Matches));
+        this->matcher.expect({ begin });
+        BOOST_TEST((this->matcher.match(success("", TransactionState::Open)) == Verdict::Matches));
+    }
+}
+
+// Guards against connections that are replaced with each answer of a lagging replica, and against the own answer of a
+// read that meets a later statement, because a repetition was taken for it.
+BOOST_AUTO_TEST_CASE(Lagging_AnsweredAgain_LinkIsExhaustedUnlessPositionIsLater)
+{
+    const auto lagging = [](uint64_t position) {
+        EndpointAnswer answer = error(AnswerCode::Lagging, "i-1");
+        answer.position = LogPosition { { 1, {} }, position };
+        return answer;
+    };
+    Statement read = makeProxyStatement(StatementKind::Read);
+    read.requiredPosition = LogPosition { { 1, {} }, 100 };
+    struct Row {
+        uint64_t second;
+        Verdict verdict;
+        bool mayCarryMore;
+    };
+    for (const Row& row : { Row { 8, Verdict::Matches, true }, Row { 7, Verdict::Matches, false },
+             Row { 6, Verdict::Repetition, true } }) {
+        AnswerMatcher fresh;
+        fresh.expect({ read });
+        BOOST_TEST((fresh.match(lagging(7)) == Verdict::Matches));
+        BOOST_TEST(fresh.mayCarryMore());
+        fresh.expect({ read });
+        BOOST_TEST((fresh.match(lagging(row.second)) == row.verdict), row.second);
+        BOOST_TEST(fresh.mayCarryMore() == row.mayCarryMore, row.second);
+    }
+    this->expect(StatementKind::Write, "1");
+    BOOST_TEST((this->matcher.match(lagging(7)) == Verdict::Contradiction));
+}
+
 // Guards against an old status that is taken for the present one.
 BOOST_AUTO_TEST_CASE(Status_Answered_LinkIsExhausted)
 {
