--- a/src/Statements/Statement.h
+++ b/src/Statements/Statement.h
@@ -42,8 +42,8 @@
     /// SetValue: name of the value. Prepare, Execute, Deallocate: name of the prepared statement.
     std::string name;
     PreparedEffect effect = PreparedEffect::Read; ///< used by Prepare only
-    /// Used by Begin and BeginReadOnly only: an answer of an endpoint that repeats answers ends the connection if it may
-    /// be a repetition, so that no statement runs outside the transaction.
+    /// Used by Begin and BeginReadOnly only: an answer of an endpoint that repeats answers ends the connection if it
+    /// may be a repetition, so that no statement runs outside the transaction.
     bool needsUniqueAnswer = false;
     uint64_t term = 0; ///< used by StepDown only: a primary of a lower term steps down
     /// If set, the endpoint refuses a read or the begin of a transaction unless its log holds this position.
