--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,6 +4,6 @@
 set -e
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
-for name in lost_return lost_lapsed session_values; do
+for name in lost_return lost_lapsed session_values quota_return; do
     g++ -std=c++20 -O1 -Wall -Wextra -I review/standin-2 "review/standin-2/$name.cpp" -o "target/review-2/$name" -lpthread
 done
--- a/review/standin-2/Harness.h
+++ b/review/standin-2/Harness.h
@@ -510,6 +510,7 @@
     bool running = false;
     std::function<Clock::duration()> receiveDelay = [] { return Clock::duration(20ms); };
     bool isDeaf = false; ///< receives nothing
+    bool isDark = false;
     size_t rowBytes = 0; ///< added to each row
     std::function<void(const std::string& id, const Database&)> onRead;
 
@@ -568,6 +569,19 @@
             }
         });
     }
+    /// Goes dark: nothing is answered on open connections, and opening packets of new ones are dropped, because the queue
+    /// of new connections is full.
+    void goDark()
+    {
+        record().write("database " + this->id + " goes dark, log " + this->position().text());
+        this->isDark = true;
+        this->acceptor->cancel();
+        ::listen(this->acceptor->native_handle(), 0);
+        for (int index = 0; index < 4; ++index) {
+            this->fillers.push_back(std::make_shared<tcp::socket>(context()));
+            this->fillers.back()->async_connect(this->local, [](const boost::system::error_code&) { });
+        }
+    }
     /// Comes back with its log, as a replica if another database was promoted.
     void comeBack()
     {
@@ -605,12 +619,13 @@
         if (this->group.onPromoted)
             this->group.onPromoted(*this);
         for (const auto& other : this->group.databases) {
-            if (other.get() != this && other->running)
+            if (other.get() != this && other->running && !other->isDark)
                 other->follow(*this);
         }
         if (previous && previous != this) {
             previous->loseLead();
-            previous->publish();
+            if (!previous->isDark)
+                previous->publish();
         }
         this->publish();
     }
@@ -647,7 +662,7 @@
     }
     void beat(uint64_t current)
     {
-        if (!this->running || current != this->run)
+        if (!this->running || current != this->run || this->isDark)
             return;
         this->publish();
         after(beatInterval, [this, current] { this->beat(current); });
@@ -699,7 +714,7 @@
         std::string line = std::move(session->queue.front());
         session->queue.pop_front();
         after(2ms, [this, session, line, current = this->run] {
-            if (this->running && current == this->run)
+            if (this->running && current == this->run && !this->isDark)
                 this->runQuery(session, line);
         });
     }
@@ -888,6 +903,7 @@
     std::set<SessionPointer> sessions;
     std::map<size_t, Pending> unacknowledged; ///< by number of the commit
     std::map<Database*, Clock::time_point> lastArrival;
+    std::vector<std::shared_ptr<tcp::socket>> fillers; ///< fill the queue of new connections
     uint64_t run = 0;
     uint64_t sequence = 0;
     uint64_t born = 1'790'000'000'000ULL;
@@ -923,7 +939,7 @@
                 if (database->id == id)
                     named = database.get();
             }
-            if (token < group->highestToken || !named || !named->running) {
+            if (token < group->highestToken || !named || !named->running || named->isDark) {
                 record().write(call + " -> 409");
                 reply({ 409, "{}" });
                 return;
