--- a/review/standin-2/session_values.cpp
+++ b/review/standin-2/session_values.cpp
@@ -4,7 +4,7 @@
 
 using namespace Review;
 
-static constexpr size_t clientCount = 100; // `count` of `rude` in ransilu-lanes-grown.toml
+static constexpr size_t clientCount = 100; // `rude` in ransilu-lanes-grown.toml has a count of up to 120
 static constexpr size_t valueCount = 3;
 static constexpr size_t valueBytes = 1'000'000; // a message is at most 1 MiB
 static constexpr size_t ordinaryBytes = 1'200; // the largest request of the site file
