--- a/review/standin-2/lost_return.cpp
+++ b/review/6/main.cpp
@@ -1,6 +1,6 @@
 // A service with `sync_replicas` 1 loses its primary for 0.6 s, six times. The primary is back while its replacement,
 // which has been ordered, has not taken the lead yet.
-#include "Harness.h"
+#include "../harness-2.h"
 
 #include <cmath>
 #include <random>
--- a/review/standin-2/lost_lapsed.cpp
+++ b/review/7/main.cpp
@@ -1,5 +1,5 @@
 // A service with `sync_replicas` 1 loses its primary and one of its two replicas at the same moment, for 7 s.
-#include "Harness.h"
+#include "../harness-2.h"
 
 using namespace Review;
 
