Carry out the replication commands in the tests' endpoint

The stand-in answered PAUSE and RESUME as malformed and did not act on STEPDOWN, so that no process test could rest on them. It now stops receiving with a newer term, resumes, and steps down, and returns its row with the term held.

--- a/tests/EntryProcess/EndpointSession.cpp
+++ b/tests/EntryProcess/EndpointSession.cpp
@@ -170,8 +170,8 @@
         this->values.clear();
         this->prepared.clear();
         this->complete();
-    } else if (verb == "STATUS" || verb == "STEPDOWN") {
-        this->answer(this->statusRow() + "COMPLETE -\r\n");
+    } else if (verb == "STATUS" || verb == "STEPDOWN" || verb == "PAUSE" || verb == "RESUME") {
+        this->runCommand(verb, rest);
     } else if ((verb != "COMMIT" || this->state != 'T') && verb != "READ" && verb != "WRITE" && verb != "EXECUTE") {
         this->endpoint.checker.addFigure("endpoint MALFORMED");
         this->fail("MALFORMED unknown statement");
@@ -181,6 +181,20 @@
     return true;
 }
 
+// All commands return the same row.
+void EndpointSession::runCommand(const std::string& verb, std::string_view rest)
+{
+    uint64_t term = 0;
+    std::from_chars(rest.data(), rest.data() + rest.size(), term);
+    if (verb == "PAUSE")
+        this->endpoint.pause(term);
+    else if (verb == "RESUME")
+        this->endpoint.resume();
+    else if (verb == "STEPDOWN")
+        this->endpoint.stepDown(term);
+    this->answer(this->statusRow() + "COMPLETE -\r\n");
+}
+
 void EndpointSession::begin(std::string_view rest)
 {
     if (this->state != 'I') {
@@ -188,7 +202,7 @@
         return;
     }
     this->isReadOnly = rest == "READ";
-    if (!this->isReadOnly && !this->endpoint.settings.isPrimary) {
+    if (!this->isReadOnly && !this->endpoint.isPrimary()) {
         this->fail("READONLY " + this->endpoint.settings.id);
         return;
     }
@@ -201,7 +215,7 @@
 void EndpointSession::runInSlot(Statement statement)
 {
     const bool writes = statement.shape ? statement.shape->writes : statement.verb == "WRITE";
-    if (writes && (!this->endpoint.settings.isPrimary || (this->state == 'T' && this->isReadOnly))) {
+    if (writes && (!this->endpoint.isPrimary() || (this->state == 'T' && this->isReadOnly))) {
         this->fail("READONLY " + this->endpoint.settings.id);
         return;
     }
@@ -295,9 +309,10 @@
 
 std::string EndpointSession::statusRow() const
 {
-    const EndpointSettings& settings = this->endpoint.settings;
-    return std::string("ROW ") + (settings.isPrimary ? "primary" : "replica") + " 1 1."
-        + std::to_string(this->endpoint.position()) + " 0 " + std::to_string(settings.lag.count()) + " "
+    const EndpointStandIn& endpoint = this->endpoint;
+    return std::string("ROW ") + (endpoint.isPrimary() ? "primary " : "replica ") + std::to_string(endpoint.term())
+        + " 1." + std::to_string(endpoint.position()) + " " + std::to_string(endpoint.heldTerm()) + " "
+        + std::to_string(endpoint.settings.lag.count()) + " "
         + std::to_string(this->endpoint.busySlots()) + " " + std::to_string(this->endpoint.connectionCount()) + "\r\n";
 }
 
--- a/tests/EntryProcess/EndpointSession.h
+++ b/tests/EntryProcess/EndpointSession.h
@@ -39,6 +39,8 @@
     void run(const std::string& id, std::string_view text);
     /// Runs a statement that the endpoint's slots are not needed for. Returns false if it is another one.
     bool runWithoutSlot(const std::string& verb, std::string_view rest);
+    /// Runs a command of the proxy itself and returns the endpoint's status.
+    void runCommand(const std::string& verb, std::string_view rest);
     void begin(std::string_view rest);
     /// Runs a read, write, execution or commit.
     void runInSlot(Statement);
--- a/tests/EntryProcess/EndpointStandIn.cpp
+++ b/tests/EntryProcess/EndpointStandIn.cpp
@@ -4,6 +4,7 @@
 
 #include <boost/asio/steady_timer.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace Lavendervane::EntryProcess {
@@ -20,6 +21,7 @@
     , checker(checker)
     , random(random)
     , context(context)
+    , leads(settings.isPrimary)
     , acceptor(context, { asio::ip::make_address(ip), 0 })
 {
     this->accept();
@@ -39,7 +41,24 @@
 
 uint64_t EndpointStandIn::position() const
 {
-    return this->log.positionAfter(this->settings.isPrimary ? Clock::duration {} : this->settings.lag);
+    const uint64_t received = this->log.positionAfter(this->leads ? Clock::duration {} : this->settings.lag);
+    return this->pauseTerm ? std::min(received, this->pausePosition) : received;
+}
+
+void EndpointStandIn::pause(uint64_t term)
+{
+    if (this->leads || term <= std::max(this->newestTerm, this->pauseTerm))
+        return;
+    this->pausePosition = this->position();
+    this->pauseTerm = term;
+}
+
+void EndpointStandIn::stepDown(uint64_t term)
+{
+    if (!this->leads || term <= this->newestTerm)
+        return;
+    this->leads = false;
+    this->newestTerm = term;
 }
 
 std::string EndpointStandIn::makeMac()
--- a/tests/EntryProcess/EndpointStandIn.h
+++ b/tests/EntryProcess/EndpointStandIn.h
@@ -44,6 +44,21 @@
     /// Returns the position of the newest commit that is applied here.
     uint64_t position() const;
 
+    bool isPrimary() const { return this->leads; }
+
+    /// Newest term known to the endpoint.
+    uint64_t term() const { return this->newestTerm; }
+
+    /// Term with which the receipt of commits is paused; 0 if it is not paused.
+    uint64_t heldTerm() const { return this->pauseTerm; }
+
+    /// Stops a replica from receiving commits until `resume`. Ignored unless the term is newer than all known ones.
+    void pause(uint64_t term);
+    void resume() { this->pauseTerm = 0; }
+
+    /// Makes a primary of a lower term a replica.
+    void stepDown(uint64_t term);
+
     /// Calls `done` after the given work in a slot. Returns false if too many are waiting.
     bool occupySlot(std::chrono::microseconds work, std::function<void()> done);
 
@@ -73,6 +88,10 @@
     static inline uint64_t lastTransaction = 0;
     static inline uint64_t lastMac = 0;
 
+    bool leads;
+    uint64_t newestTerm = 1;
+    uint64_t pauseTerm = 0;
+    uint64_t pausePosition = 0; ///< end of the log while its receipt is paused
     boost::asio::ip::tcp::acceptor acceptor;
     std::set<std::shared_ptr<EndpointSession>> sessions;
     std::deque<Work> waiting;
