--- a/src/Fleet/EntryDaemon.cpp
+++ b/src/Fleet/EntryDaemon.cpp
@@ -285,10 +285,11 @@
         const QueryEndpointStatuses& effect, std::function<void(EndpointStatusesReceived)> callback) override
     {
         asio::post(this->trafficContext, [this, effect, callback = std::move(callback)] {
-            this->service.inspect(effect.group, effect.endpoints, [this, effect, callback](auto statuses) {
-                this->postToControl(
-                    callback, EndpointStatusesReceived { effect.group, effect.attempt, std::move(statuses) });
-            });
+            this->service.inspect(effect.group, effect.endpoints,
+                makeProxyStatement(kindOf(effect.command), effect.term), [this, effect, callback](auto statuses) {
+                    this->postToControl(
+                        callback, EndpointStatusesReceived { effect.group, effect.attempt, std::move(statuses) });
+                });
         });
     }
 
@@ -324,9 +325,14 @@
     void stepDown(const StepDownPrimary& effect, std::function<void(StepDownAnswered)> callback) override
     {
         asio::post(this->trafficContext, [this, effect, callback = std::move(callback)] {
-            this->service.stepDown(effect.group, effect.endpoint, effect.term, [this, effect, callback](auto status) {
-                this->postToControl(callback, StepDownAnswered { effect.group, effect.attempt, status });
-            });
+            this->service.inspect(effect.group, { effect.endpoint },
+                makeProxyStatement(StatementKind::StepDown, effect.term),
+                [this, effect, callback](const auto& statuses) {
+                    StepDownAnswered answered { effect.group, effect.attempt, std::nullopt };
+                    if (!statuses.empty())
+                        answered.status = statuses.begin()->second;
+                    this->postToControl(callback, answered);
+                });
         });
     }
 
@@ -399,6 +405,19 @@
         return control;
     }
 
+    static StatementKind kindOf(ReplicationCommand command)
+    {
+        switch (command) {
+        case ReplicationCommand::Pause:
+            return StatementKind::Pause;
+        case ReplicationCommand::Resume:
+            return StatementKind::Resume;
+        case ReplicationCommand::None:
+            break;
+        }
+        return StatementKind::Status;
+    }
+
     template <typename Callback, typename Event> void postToControl(const Callback& callback, Event event)
     {
         asio::post(
--- a/src/Fleet/FleetControl.cpp
+++ b/src/Fleet/FleetControl.cpp
@@ -461,6 +461,7 @@
     for (const GroupDeclaration& group : this->configuration->groups)
         update.synchronousReplicas[group.name] = group.synchronousReplicas;
     this->handlePromotionEvent(update);
+    this->readStoredRevocationsIfNeeded();
     // The traffic thread must see at most one primary in each group.
     for (RegisteredEndpoint& endpoint : endpoints) {
         if (endpoint.role == EndpointRole::Primary
@@ -628,8 +629,8 @@
     for (const FleetMember& peer : vms)
         change.vms.push_back(peer.vm);
     this->handlePromotionEvent(change);
-    if (!std::exchange(this->hasJoinedFleet, true) && this->settings.promotion.primaryLease > Duration {})
-        this->readStoredRevocations();
+    this->hasJoinedFleet = true;
+    this->readStoredRevocationsIfNeeded();
     // While many VMs join at the same time, none of them knows yet which ones are to hold the shares.
     if (list.settled)
         this->updateShareHolding(vms);
@@ -675,6 +676,23 @@
         this->executeShareEffects(this->shareLeaseManager->handle(ShareStopRequested { true }, now));
 }
 
+// Primaries are revoked if they are not fenced, and where a commit must not be acknowledged while they are replaced.
+bool FleetControl::usesRevocations() const
+{
+    if (this->settings.promotion.primaryLease > Duration {})
+        return true;
+    return this->configuration
+        && std::any_of(this->configuration->groups.begin(), this->configuration->groups.end(),
+            [](const GroupDeclaration& group) { return group.synchronousReplicas > 0; });
+}
+
+void FleetControl::readStoredRevocationsIfNeeded()
+{
+    if (!this->hasJoinedFleet || !this->usesRevocations() || std::exchange(this->readsStoredRevocations, true))
+        return;
+    this->readStoredRevocations();
+}
+
 // A promotion stores its revocation before it reads the ledger, so a VM that reads the revocations after it has been
 // listed there misses none.
 void FleetControl::readStoredRevocations()
--- a/src/Fleet/FleetControl.h
+++ b/src/Fleet/FleetControl.h
@@ -138,6 +138,8 @@
     void handleFleetChange(const PublishMembers&);
     void startShareLease();
     void updateShareHolding(const std::vector<FleetMember>&);
+    bool usesRevocations() const;
+    void readStoredRevocationsIfNeeded();
     void readStoredRevocations();
     void noteRevocation(const PrimaryRevocation&);
     void recordRevocationsAgain();
@@ -184,6 +186,7 @@
     bool hasRegistry = false;
     bool hasShares = false;
     bool hasJoinedFleet = false; ///< true once the ledger lists this VM
+    bool readsStoredRevocations = false; ///< the stored revocations have been read, or are being read
     FleetPosition position;
     uint64_t directoryNumber = 0;
     std::optional<Timers::Handle> shareTimer;
--- a/src/PrimaryLease/PrimaryLease.cpp
+++ b/src/PrimaryLease/PrimaryLease.cpp
@@ -54,11 +54,14 @@
 
 void PrimaryLease::start(const std::vector<PrimaryRevocation>& stored)
 {
-    if (!this->isEnabled() || this->started)
+    if (this->started)
         return;
     this->started = true;
     this->adopt(stored);
-    this->renew();
+    if (this->isEnabled())
+        this->renew();
+    else
+        this->listener.primaryLeaseChanged();
 }
 
 void PrimaryLease::setMembers(const std::vector<FleetMember>& members)
@@ -96,7 +99,9 @@
 
 bool PrimaryLease::mayUse(const RegisteredEndpoint& endpoint) const
 {
-    return !this->isEnabled() || (this->hasLease() && !this->revocations.isRevoked(endpoint));
+    if (!this->isEnabled() && !this->started && this->guardedGroups.count(endpoint.group))
+        return false;
+    return this->hasLease() && !this->revocations.isRevoked(endpoint);
 }
 
 void PrimaryLease::renew()
@@ -317,7 +322,8 @@
         this->finishRevocation(requestId, true);
         return;
     }
-    if (running.hasMajority || 2 * running.confirmations <= running.fleetSize)
+    // Without leases, a VM that does not confirm may go on using the primary for any length of time.
+    if (!this->isEnabled() || running.hasMajority || 2 * running.confirmations <= running.fleetSize)
         return;
     running.hasMajority = true;
     const Duration wait = this->settings.duration + this->settings.duration / clockRateTolerance;
--- a/src/PrimaryLease/PrimaryLease.h
+++ b/src/PrimaryLease/PrimaryLease.h
@@ -58,17 +58,20 @@
     PrimaryLease(const PrimaryLease&) = delete;
     PrimaryLease& operator=(const PrimaryLease&) = delete;
 
-    /// Starts to obtain a lease. `revocations` are those stored in the platform's table after this VM has been listed
-    /// as a member of the fleet.
+    /// Starts to obtain a lease, if VMs need one. `revocations` are those stored in the platform's table after this VM
+    /// has been listed as a member of the fleet.
     void start(const std::vector<PrimaryRevocation>& revocations);
 
     void setMembers(const std::vector<FleetMember>&);
 
+    /// Groups whose primaries may be revoked although VMs need no lease. They are not used before `start`.
+    void setGuardedGroups(std::set<GroupId> groups) { this->guardedGroups = std::move(groups); }
+
     /// Returns true if this VM may use the endpoint as the primary of its group now.
     bool mayUse(const RegisteredEndpoint&) const;
 
     /// Called with true once no VM can hold permission to use the revoked endpoint any more, or with false if no
-    /// majority has confirmed the revocation in time.
+    /// majority has confirmed the revocation in time; if VMs need no lease, with false if any VM has not.
     using RevocationCallback = std::function<void(bool complete)>;
 
     /// Revokes the endpoint at all `members`.
@@ -131,6 +134,7 @@
     RandomGenerator random;
     PrimaryLeaseListener& listener;
     RevocationTable revocations;
+    std::set<GroupId> guardedGroups;
     std::vector<std::string> peerAddresses; ///< other VMs
     std::vector<std::string> keepers; ///< addresses in order of preference; empty for this VM
     size_t keeperIndex = 0;
--- /dev/null
+++ b/src/Promotion/GroupRecord.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "Core/Identifiers.h"
+#include "Fleet/TableStore.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+namespace Lavendervane {
+
+/// What the platform's table holds about a group: the promotion lease, and what must outlast all VMs.
+struct GroupRecord {
+    // Promotion lease
+    std::string holder; ///< VM that holds the lease
+    std::string run; ///< run of that VM
+    uint64_t until = 0; ///< end of the lease by the table's clock in ms
+    uint64_t generation = 0; ///< generation of the table in which the row was written
+
+    std::optional<EndpointId> revoked; ///< revoked primary; empty ID if none is; nothing if none ever was
+    std::string revokedAddress;
+
+    /// Rows may be missing or written by another version of the program: what cannot be read is left empty.
+    static GroupRecord parse(const TableRow&);
+    std::string encode() const;
+
+    /// Returns the transaction that replaces the row, on condition that it still has the given revision.
+    TableTransaction replaceRow(const std::string& key, uint64_t revision, uint64_t tableGeneration) const;
+
+    friend bool operator==(const GroupRecord&, const GroupRecord&) = default;
+};
+
+} // namespace Lavendervane
--- a/src/Promotion/PromotionCoordinator.cpp
+++ b/src/Promotion/PromotionCoordinator.cpp
@@ -2,15 +2,11 @@
 
 #include "Core/Rendezvous.h"
 
-#include <nlohmann/json.hpp>
-
 #include <algorithm>
 #include <utility>
 
 namespace Lavendervane {
 
-using Json = nlohmann::json;
-
 PromotionCoordinator::PromotionCoordinator(VmId self, std::string runId, PromotionCoordinatorSettings settings)
     : self(std::move(self))
     , runId(std::move(runId))
@@ -26,36 +22,16 @@
 // Revisions that are assigned again after a restore must not make a token equal to an earlier one or lower.
 static uint64_t fencingToken(uint64_t generation, uint64_t revision) { return (generation << revisionBits) + revision; }
 
-// Rows may have been written by another version of the program, so their fields may have other types.
-static uint64_t unsignedField(const Json& lease, const char* name)
-{
-    const auto field = lease.is_object() ? lease.find(name) : lease.end();
-    return field != lease.end() && field->is_number_unsigned() ? field->get<uint64_t>() : 0;
-}
-
 std::string PromotionCoordinator::leaseKey(const GroupId& group) { return leaseKeyPrefix + group.str(); }
 
 std::optional<PrimaryRevocation> PromotionCoordinator::storedRevocation(const TableRow& row)
 {
-    const Json lease = Json::parse(row.value, nullptr, false);
-    if (!row.revision || !row.key.starts_with(leaseKeyPrefix) || !lease.is_object())
-        return std::nullopt;
-    const auto endpoint = lease.find("revoked");
-    if (endpoint == lease.end() || !endpoint->is_string())
+    const GroupRecord record = GroupRecord::parse(row);
+    if (!row.key.starts_with(leaseKeyPrefix) || !record.revoked)
         return std::nullopt;
     const std::string group = row.key.substr(std::char_traits<char>::length(leaseKeyPrefix));
-    // The address is missing in rows of earlier versions.
-    const auto address = lease.find("revoked_address");
-    const bool hasAddress = address != lease.end() && address->is_string();
-    return PrimaryRevocation { GroupId(group), EndpointId(endpoint->get<std::string>()),
-        fencingToken(unsignedField(lease, "generation"), row.revision),
-        hasAddress ? address->get<std::string>() : std::string() };
-}
-
-static void recordRevocation(Json& lease, const PrimaryRevocation& revocation)
-{
-    lease["revoked"] = revocation.endpoint.str();
-    lease["revoked_address"] = revocation.address;
+    return PrimaryRevocation { GroupId(group), *record.revoked, fencingToken(record.generation, row.revision),
+        record.revokedAddress };
 }
 
 std::vector<TableTransaction> PromotionCoordinator::recordAgain(
@@ -64,22 +40,18 @@
     std::vector<TableTransaction> transactions;
     for (const auto& [group, revocation] : known) {
         const std::string key = leaseKey(group);
-        const auto row
+        const auto found
             = std::find_if(rows.begin(), rows.end(), [&key](const TableRow& other) { return other.key == key; });
-        const auto stored = row == rows.end() ? std::nullopt : storedRevocation(*row);
+        const TableRow row = found == rows.end() ? TableRow { key, 0, {} } : *found;
+        const auto stored = storedRevocation(row);
         if (stored && stored->number >= revocation.number)
             continue;
         // The stored lease is kept, because it may still be held.
-        Json lease = row == rows.end() ? Json::object() : Json::parse(row->value, nullptr, false);
-        if (!lease.is_object())
-            lease = Json::object();
-        recordRevocation(lease, revocation);
-        lease["generation"] = generation;
-        TableTransaction transaction;
-        transaction.generation = generation;
-        transaction.conditions.push_back({ key, row == rows.end() ? 0 : row->revision });
-        transaction.writes.push_back({ key, lease.dump() });
-        transactions.push_back(std::move(transaction));
+        GroupRecord record = GroupRecord::parse(row);
+        record.revoked = revocation.endpoint;
+        record.revokedAddress = revocation.address;
+        record.generation = generation;
+        transactions.push_back(record.replaceRow(key, row.revision, generation));
     }
     return transactions;
 }
@@ -197,14 +169,15 @@
 {
     std::map<GroupId, std::map<EndpointId, Member>> present;
     for (const RegisteredEndpoint& endpoint : registry.endpoints)
-        present[endpoint.group][endpoint.id]
-            = { endpoint.role == EndpointRole::Primary, endpoint.draining, endpoint.evacuated, endpoint.address };
+        present[endpoint.group][endpoint.id] = { endpoint.role == EndpointRole::Primary, endpoint.draining,
+            endpoint.evacuated, endpoint.address, endpoint.startedAt };
     Effects effects;
     for (auto& [name, members] : present) {
         Group& group = this->groups[name];
         group.name = name;
         const auto synchronous = registry.synchronousReplicas.find(name);
         group.synchronousReplicas = synchronous == registry.synchronousReplicas.end() ? 0 : synchronous->second;
+        group.succession.setSynchronousReplicas(group.synchronousReplicas);
         if (group.members == members)
             continue;
         const auto before = std::exchange(group.members, std::move(members));
@@ -213,6 +186,10 @@
             if (group.phase == Phase::AwaitingNewPrimary && primary == group.promotedEndpoint)
                 this->lastPromotionTime = now - group.orderedAt;
             effects.emplace_back(LogPromotionStep { name, "primary_changed", primary.str() });
+            // An endpoint at the address of the former primary is that one after a restart.
+            const std::string address = group.addressOf(primary);
+            const bool isReplaced
+                = primary != group.lastPrimary && (address.empty() || address != group.lastPrimaryAddress);
             group.primary = primary;
             if (!primary.empty())
                 group.setLastPrimary(primary);
@@ -220,13 +197,12 @@
             // The registry shows no primary between a step-down and the promotion, or shows the old one again; that
             // must not end the attempt.
             if (!primary.empty() && !group.isRevoked(primary)) {
-                group.replacingSince.reset();
-                group.keepsLease = false;
-                group.hasUnconfirmedOrder = false;
-                group.unansweredOrders = 0;
-                group.phase = Phase::Idle;
-                ++group.attempt;
+                // A promotion ends the pause. Until then the former primary may be back, and its replicas stay paused.
+                group.replicasPaused = group.replicasPaused && !isReplaced;
+                finishAttempt(group);
             }
+        } else if (!primary.empty()) {
+            group.setLastPrimary(primary);
         }
         for (auto& effect : this->scheduleIfNeeded(group, now))
             effects.push_back(std::move(effect));
@@ -243,10 +219,34 @@
     if (group.primary.empty())
         return true;
     const auto primary = group.members.find(group.primary);
-    return group.primaryUnreachable || group.isRevoked(group.primary)
+    return group.primaryUnreachable || group.replicasPaused || group.isRevoked(group.primary)
         || (primary != group.members.end() && primary->second.isLeaving());
 }
 
+// An unfenced primary that has been revoked is not used again, because an order may still be carried out.
+bool PromotionCoordinator::canRestorePrimary(const Group& group) const
+{
+    const auto primary = group.members.find(group.primary);
+    return !this->isUnfenced() && primary != group.members.end() && !primary->second.isLeaving()
+        && !group.primaryUnreachable && (group.replicasPaused || group.isRevoked(group.primary));
+}
+
+// A fenced primary is revoked only if its replicas do not confirm that they pause, and stays so until it is replaced.
+bool PromotionCoordinator::requiresRevocation(const Group& group) const
+{
+    const EndpointId& primary = currentPrimary(group);
+    return this->isUnfenced() || group.pauseUnconfirmed || group.isRevoked(primary)
+        || (!primary.empty() && group.succession.knownRecord().revoked == primary);
+}
+
+// The registry lists no primary between its end and the promotion of another endpoint.
+const EndpointId& PromotionCoordinator::currentPrimary(const Group& group)
+{
+    if (!group.primary.empty())
+        return group.primary;
+    return group.lastPrimary;
+}
+
 std::vector<PromotionEffect> PromotionCoordinator::scheduleIfNeeded(Group& group, Instant now)
 {
     if (!this->needsPromotion(group)) {
@@ -303,16 +303,19 @@
     }
     // A VM that has started does not know whom to revoke if the registry lists no primary. The others may still use the
     // one that they know, and replace it themselves.
-    if (this->requiresRevocation() && group.primary.empty() && group.lastPrimary.empty()
+    if (this->requiresRevocation(group) && group.primary.empty() && group.lastPrimary.empty()
         && !std::exchange(group.hasWaitedForPrimary, true))
         return this->waitForOtherVm(group, now);
     group.oldPrimary = group.primary;
-    group.oldPrimaryIsLeaving = !group.primaryUnreachable && !group.primary.empty();
+    group.isRestoring = this->canRestorePrimary(group);
+    group.oldPrimaryIsLeaving = !group.isRestoring && !group.primaryUnreachable && !group.primary.empty();
+    group.barrier = CommitBarrier::None;
+    group.pauseTerm = 0;
     group.finalPosition.reset();
     group.replacingSince = group.replacingSince.value_or(now);
     // The others agreed before an order that this VM repeats.
     const bool repeatsOrder = group.keepsLease && group.primary.empty() && now < group.leaseExpiry;
-    if (group.oldPrimaryIsLeaving || repeatsOrder)
+    if (group.isRestoring || group.oldPrimaryIsLeaving || repeatsOrder)
         return this->readLease(group, now);
     // The others are asked also if this VM knows no primary: it may have missed a promotion.
     group.phase = Phase::PollingPeers;
@@ -328,7 +331,7 @@
         return {};
     const std::string counts = std::to_string(event.unreachable + 1) + " of " + std::to_string(event.asked + 1)
         + " VMs cannot reach the primary, " + std::to_string(event.reachable) + " can";
-    group->newestTerm = std::max(group->newestTerm, event.newestTerm);
+    group->succession.learnTerm(event.newestTerm);
     const bool isReachable = !group->primary.empty() && !group->primaryUnreachable;
     if (2 * (event.unreachable + 1) <= event.asked + 1 || isReachable)
         return this->retryLater(*group, now, counts);
@@ -368,27 +371,33 @@
         return this->retryLater(*group, now, "reading the promotion lease failed: " + event.reply.reason);
     const TableRow& row = event.reply.result.rows.front();
     const uint64_t tableNow = event.reply.clock.lowerBound(now);
-    if (row.revision) {
-        const Json lease = Json::parse(row.value, nullptr, false);
-        const uint64_t until = unsignedField(lease, "until");
-        const auto run = lease.is_object() ? lease.find("run") : lease.end();
-        const bool isOwnLease = run != lease.end() && run->is_string() && *run == this->runId;
-        if (until > tableNow && !isOwnLease)
-            return this->retryLater(*group, now, "another VM holds the promotion lease");
-    }
+    GroupRecord record = GroupRecord::parse(row);
+    const bool isOwnLease = record.run == this->runId;
+    if (record.until > tableNow && !isOwnLease)
+        return this->retryLater(*group, now, "another VM holds the promotion lease");
+    group->succession.learnRecord(record);
+    const Duration sinceExpiry = std::chrono::milliseconds(tableNow - std::min(tableNow, record.until));
+    if (!isOwnLease && record.until)
+        group->ordersSettledAt = std::max(group->ordersSettledAt, now + this->settings.newPrimaryTimeout - sinceExpiry);
+    if (group->isRestoring && now < group->ordersSettledAt)
+        return this->retryAt(*group, group->ordersSettledAt, "an earlier order may take effect");
     group->phase = Phase::WritingLease;
     group->leaseGeneration = event.reply.generation;
-    TableTransaction transaction;
-    transaction.generation = event.reply.generation;
-    transaction.conditions.push_back({ leaseKey(group->name), row.revision });
     const auto lifetime = std::chrono::duration_cast<std::chrono::milliseconds>(this->leaseLifetime());
     group->leaseExpiry = now + lifetime - event.reply.clock.uncertainty();
-    Json lease { { "holder", this->self.str() }, { "run", this->runId },
-        { "until", tableNow + static_cast<uint64_t>(lifetime.count()) }, { "generation", group->leaseGeneration } };
-    if (this->requiresRevocation())
-        recordRevocation(lease, this->revocationOf(*group));
-    transaction.writes.push_back({ leaseKey(group->name), lease.dump() });
-    return { WriteLease { group->name, group->attempt, std::move(transaction) } };
+    record.holder = this->self.str();
+    record.run = this->runId;
+    record.until = tableNow + static_cast<uint64_t>(lifetime.count());
+    record.generation = group->leaseGeneration;
+    const bool hasRevocation = record.revoked && !record.revoked->empty();
+    group->liftsRevocation = hasRevocation && !this->requiresRevocation(*group);
+    if (group->liftsRevocation || this->requiresRevocation(*group)) {
+        const PrimaryRevocation revocation = this->revocationOf(*group);
+        record.revoked = revocation.endpoint;
+        record.revokedAddress = revocation.address;
+    }
+    return { WriteLease {
+        group->name, group->attempt, record.replaceRow(leaseKey(group->name), row.revision, group->leaseGeneration) } };
 }
 
 std::vector<PromotionEffect> PromotionCoordinator::handleLeaseWrite(const LeaseWriteAnswered& event, Instant now)
@@ -400,7 +409,7 @@
         return this->retryLater(*group, now, "writing the promotion lease failed: " + event.reply.reason);
     // Every write of the lease increases its revision within a generation, so a later holder always has a higher token.
     group->token = fencingToken(group->leaseGeneration, event.reply.revision);
-    if (this->requiresRevocation()) {
+    if (group->liftsRevocation || this->requiresRevocation(*group)) {
         group->phase = Phase::ReadingFleet;
         return { ReadFleet { group->name, group->attempt } };
     }
@@ -413,12 +422,13 @@
 // so, because an order of an earlier attempt may still be carried out.
 EndpointId PromotionCoordinator::endpointToRevoke(const Group& group) const
 {
-    if (group.oldPrimaryIsLeaving && !group.isRevoked(group.primary))
+    if (group.isRestoring || group.liftsRevocation || (group.oldPrimaryIsLeaving && !group.isRevoked(group.primary)))
         return {};
     if (!group.primary.empty())
         return group.primary;
-    const auto last = group.members.find(group.lastPrimary);
-    return last != group.members.end() && !last->second.isPrimary ? EndpointId() : group.lastPrimary;
+    const EndpointId& lastPrimary = currentPrimary(group);
+    const auto last = group.members.find(lastPrimary);
+    return last != group.members.end() && !last->second.isPrimary ? EndpointId() : lastPrimary;
 }
 
 PrimaryRevocation PromotionCoordinator::revocationOf(const Group& group) const
@@ -444,6 +454,9 @@
     if (!revocation.endpoint.empty())
         return effects;
     // Nothing has to be waited for; the message only replaces earlier revocations of the group.
+    group->revocation = revocation;
+    if (!group->isRestoring && !group->liftsRevocation && !group->oldPrimaryIsLeaving)
+        group->barrier = CommitBarrier::PrimaryRevoked;
     group->phase = Phase::QueryingStatuses;
     for (auto& effect : this->queryStatuses(*group))
         effects.push_back(std::move(effect));
@@ -458,6 +471,7 @@
         return {};
     if (!event.complete)
         return this->retryLater(*group, now, "no majority of the VMs has confirmed the revocation of the primary");
+    group->barrier = CommitBarrier::PrimaryRevoked;
     group->phase = Phase::QueryingStatuses;
     Effects effects = this->queryStatuses(*group);
     effects.insert(effects.begin(), LogPromotionStep { group->name, "revocation_complete", group->oldPrimary.str() });
@@ -487,8 +501,8 @@
     for (const auto& [id, member] : group.members) {
         // With synchronous replication, a replica that leaves may be the only one that holds an acknowledged commit.
         const bool leaving = member.isLeaving() && id != group.oldPrimary && !group.synchronousReplicas;
-        const bool gone
-            = (id == group.oldPrimary && !(group.oldPrimaryIsLeaving && group.phase == Phase::QueryingStatuses))
+        const bool gone = (id == group.oldPrimary && !group.isRestoring
+                              && !(group.oldPrimaryIsLeaving && group.phase == Phase::QueryingStatuses))
             || (id != group.oldPrimary && group.isRevoked(id));
         if (!leaving && !gone)
             endpoints.push_back(id);
@@ -496,97 +510,120 @@
     return { QueryEndpointStatuses { group.name, group.attempt, std::move(endpoints) } };
 }
 
-// A replica that does not know the newest term lacks the commits of that term, and may hold commits that were discarded
-// when it began. Without another replica it is promoted in the end, so that the group does not stay without a primary.
-bool PromotionCoordinator::isOutdated(const Group& group, const EndpointStatus& status, Instant now) const
-{
+SuccessionQuestion PromotionCoordinator::makeQuestion(
+    const Group& group, const std::map<EndpointId, EndpointStatus>& statuses, Instant now) const
+{
+    SuccessionQuestion question;
+    for (const auto& [id, member] : group.members)
+        question.members.emplace(id, SuccessionMember { member.isEvacuated, member.startedAt });
+    question.oldPrimary = group.oldPrimary;
+    question.statuses = statuses;
+    question.barrier = group.barrier;
+    question.pauseTerm = group.pauseTerm;
+    if (group.hasUnconfirmedOrder)
+        question.orderedBefore = group.promotedEndpoint;
+    // Without another replica, an outdated one is promoted in the end, so that the group does not stay without a
+    // primary.
     const bool mayWait = group.replacingSince && now < *group.replacingSince + this->settings.outdatedReplicaTimeout;
-    return !group.oldPrimaryIsLeaving && mayWait && status.term < group.newestTerm;
+    question.acceptsOutdated = group.oldPrimaryIsLeaving || !mayWait;
+    return question;
 }
 
-// An acknowledged commit is stored on at least `synchronousReplicas` replicas. The most advanced replica that answered
-// is certain to hold it only if fewer than that many replicas did not answer.
-bool PromotionCoordinator::mayLackAcknowledgedCommit(const Group& group, size_t answeredReplicas) const
-{
-    const size_t replicas = group.members.size() - group.members.count(group.oldPrimary);
-    return group.synchronousReplicas && answeredReplicas + group.synchronousReplicas <= replicas;
-}
-
-// Returns the replica with the highest log position. A promotion discards all commits that the promoted replica lacks.
-static std::optional<EndpointId> mostAdvanced(const std::map<EndpointId, EndpointStatus>& statuses)
+std::vector<PromotionEffect> PromotionCoordinator::handleStatuses(const EndpointStatusesReceived& event, Instant now)
 {
-    std::optional<EndpointId> best;
-    for (const auto& [id, status] : statuses) {
-        if (!best || statuses.at(*best).received < status.received)
-            best = id;
+    const auto found = this->groups.find(event.group);
+    if (found == this->groups.end() || found->second.attempt != event.attempt)
+        return {};
+    Group& group = found->second;
+    if (group.phase != Phase::QueryingStatuses && group.phase != Phase::CatchingUp
+        && group.phase != Phase::PausingReplicas)
+        return {};
+    if (group.isRestoring)
+        return this->restorePrimary(group, event.statuses, now);
+    const auto old = event.statuses.find(group.oldPrimary);
+    if (old != event.statuses.end() && old->second.role == EndpointRole::Replica)
+        group.barrier = CommitBarrier::SteppedDown;
+    const SuccessionQuestion question = this->makeQuestion(group, event.statuses, now);
+    const SuccessionAnswer answer = group.succession.decide(question);
+    if (group.phase == Phase::CatchingUp && !answer.endpoint.empty() && group.finalPosition
+        && event.statuses.at(answer.endpoint).received < *group.finalPosition && now < group.catchUpDeadline)
+        return this->setTimer(group, now + this->settings.catchUpInterval);
+    const bool isPostponed = answer.action == SuccessionAnswer::Action::Postpone;
+    const bool isPauseConfirmed = answer.action == SuccessionAnswer::Action::Promote
+        || (isPostponed && !answer.awaitsReplica && !answer.endpoint.empty());
+    if (group.phase == Phase::PausingReplicas && !isPauseConfirmed)
+        return this->handleUnconfirmedPause(group, now);
+    if (isPostponed) {
+        return this->retryLater(group, now, answer.reason);
+    }
+    // A primary that does not answer may be busy, and would go on.
+    const bool mayGoOn
+        = old != event.statuses.end() ? old->second.role == EndpointRole::Primary : !group.isRevoked(group.oldPrimary);
+    if (group.phase == Phase::QueryingStatuses && group.oldPrimaryIsLeaving && mayGoOn) {
+        group.phase = Phase::SteppingDown;
+        return { StepDownPrimary { group.name, group.attempt, group.oldPrimary, group.succession.nextTerm(question) } };
     }
-    return best;
+    if (answer.action == SuccessionAnswer::Action::Promote)
+        return this->sendOrder(group, answer.endpoint, now);
+    return pauseReplicas(group, question);
+}
+
+// Without replicas that receive, the old primary acknowledges nothing even if it is back before its successor leads,
+// and even to a VM that has missed all messages.
+std::vector<PromotionEffect> PromotionCoordinator::pauseReplicas(Group& group, const SuccessionQuestion& question)
+{
+    group.phase = Phase::PausingReplicas;
+    group.barrier = CommitBarrier::ReplicasPaused;
+    group.pauseTerm = group.succession.nextPauseTerm(question);
+    group.replicasPaused = true;
+    std::vector<EndpointId> replicas;
+    for (const auto& [id, status] : question.statuses) {
+        if (id != group.oldPrimary)
+            replicas.push_back(id);
+    }
+    return { LogPromotionStep { group.name, "replicas_paused", "term " + std::to_string(group.pauseTerm) },
+        QueryEndpointStatuses {
+            group.name, group.attempt, std::move(replicas), ReplicationCommand::Pause, group.pauseTerm } };
 }
 
-static uint64_t newestTerm(const std::map<EndpointId, EndpointStatus>& statuses)
+std::vector<PromotionEffect> PromotionCoordinator::resumeReplicas(Group& group)
 {
-    uint64_t newest = 0;
-    for (const auto& [id, status] : statuses)
-        newest = std::max(newest, status.term);
-    return newest;
+    group.replicasPaused = false;
+    std::vector<EndpointId> replicas;
+    for (const auto& [id, member] : group.members) {
+        if (id != group.primary)
+            replicas.push_back(id);
+    }
+    // Nothing depends on the answers: replicas that stay paused are found by the recorder of the group's replicas.
+    return { QueryEndpointStatuses { group.name, 0, std::move(replicas), ReplicationCommand::Resume, 0 } };
 }
 
-// An order without an answer may still be executed after a later one, and an unfenced platform does not refuse it then.
-// Ordering the same endpoint again makes the late execution harmless.
-std::optional<EndpointId> PromotionCoordinator::chooseReplica(
-    const Group& group, const std::map<EndpointId, EndpointStatus>& statuses) const
+// What an endpoint does not confirm, it has not done. Instead, the VMs confirm that they do not use the primary.
+std::vector<PromotionEffect> PromotionCoordinator::handleUnconfirmedPause(Group& group, Instant now)
 {
-    if (this->requiresRevocation() && group.hasUnconfirmedOrder && statuses.count(group.promotedEndpoint))
-        return group.promotedEndpoint;
-    return mostAdvanced(statuses);
+    group.pauseUnconfirmed = true;
+    group.barrier = CommitBarrier::None;
+    ++group.attempt;
+    Effects effects = this->readLease(group, now);
+    effects.insert(
+        effects.begin(), LogPromotionStep { group.name, "pause_unconfirmed", "the primary is revoked instead" });
+    return effects;
 }
 
-std::vector<PromotionEffect> PromotionCoordinator::handleStatuses(const EndpointStatusesReceived& event, Instant now)
+std::vector<PromotionEffect> PromotionCoordinator::restorePrimary(
+    Group& group, const std::map<EndpointId, EndpointStatus>& statuses, Instant now)
 {
-    const auto found = this->groups.find(event.group);
-    if (found == this->groups.end() || found->second.attempt != event.attempt)
-        return {};
-    Group& group = found->second;
-    if (group.phase != Phase::QueryingStatuses && group.phase != Phase::CatchingUp)
+    const auto primary = statuses.find(group.primary);
+    if (primary == statuses.end() || primary->second.role != EndpointRole::Primary)
+        return this->retryLater(group, now, "the primary that is to be restored does not answer as the primary");
+    const bool pauseFound = std::any_of(
+        statuses.begin(), statuses.end(), [](const auto& answered) { return answered.second.heldTerm > 0; });
+    if (!pauseFound && !group.hasUnconfirmedOrder && !group.isRevoked(group.primary)) {
+        group.replicasPaused = false;
+        finishAttempt(group);
         return {};
-    auto replicas = event.statuses;
-    const auto old = replicas.find(group.oldPrimary);
-    std::optional<EndpointStatus> primary;
-    if (old != replicas.end()) {
-        primary = old->second;
-        replicas.erase(old);
-    }
-    // A replica in an evacuated data centre is not promoted, but tells whether the others lack a commit.
-    std::optional<LogPosition> newestEvacuated;
-    const size_t evacuated = std::erase_if(replicas, [&group, &newestEvacuated](const auto& replica) {
-        if (!group.isEvacuated(replica.first))
-            return false;
-        newestEvacuated = std::max(newestEvacuated.value_or(replica.second.received), replica.second.received);
-        return true;
-    });
-    const size_t outdated = std::erase_if(
-        replicas, [this, &group, now](const auto& replica) { return this->isOutdated(group, replica.second, now); });
-    if (outdated && replicas.empty())
-        return this->retryLater(group, now, "the replicas that answered do not know the newest term");
-    const auto best = this->chooseReplica(group, replicas);
-    if (!best)
-        return this->retryLater(group, now, "no replica answered the status query");
-    // A primary that does not answer may be busy, and would go on.
-    const bool mayGoOn = primary ? primary->role == EndpointRole::Primary : !group.isRevoked(group.oldPrimary);
-    if (group.phase == Phase::QueryingStatuses && group.oldPrimaryIsLeaving && mayGoOn) {
-        group.phase = Phase::SteppingDown;
-        return { StepDownPrimary { group.name, group.attempt, group.oldPrimary, newestTerm(event.statuses) + 1 } };
     }
-    if (group.phase == Phase::CatchingUp && group.finalPosition && replicas.at(*best).received < *group.finalPosition
-        && now < group.catchUpDeadline)
-        return this->setTimer(group, now + this->settings.catchUpInterval);
-    if (group.synchronousReplicas && newestEvacuated && replicas.at(*best).received < *newestEvacuated)
-        return this->retryLater(
-            group, now, "only a replica in an evacuated data centre holds all commits that may be acknowledged");
-    if (this->mayLackAcknowledgedCommit(group, replicas.size() + evacuated))
-        return this->retryLater(
-            group, now, "a replica that may hold acknowledged commits did not answer the status query");
-    return this->orderPromotion(group, *best, now);
+    return this->sendOrder(group, group.primary, now);
 }
 
 std::vector<PromotionEffect> PromotionCoordinator::handleStepDownAnswer(const StepDownAnswered& event, Instant now)
@@ -594,8 +631,9 @@
     Group* group = this->findInPhase(event.group, event.attempt, Phase::SteppingDown);
     if (!group)
         return {};
-    if (!event.status)
-        return this->retryLater(*group, now, "the primary did not answer the step-down request");
+    if (!event.status || event.status->role != EndpointRole::Replica)
+        return this->retryLater(*group, now, "the primary did not confirm that it has stepped down");
+    group->barrier = CommitBarrier::SteppedDown;
     group->finalPosition = event.status->received;
     group->catchUpDeadline = now + this->settings.catchUpTimeout;
     group->phase = Phase::CatchingUp;
@@ -604,18 +642,30 @@
     return effects;
 }
 
-std::vector<PromotionEffect> PromotionCoordinator::orderPromotion(Group& group, const EndpointId& endpoint, Instant now)
+std::vector<PromotionEffect> PromotionCoordinator::sendOrder(Group& group, const EndpointId& endpoint, Instant now)
 {
     if (now >= group.leaseExpiry)
         return this->retryLater(group, now, "the promotion lease expired before the order");
     group.phase = Phase::Ordering;
     group.promotedEndpoint = endpoint;
     group.orderedAt = now;
+    group.ordersSettledAt = now + this->settings.newPrimaryTimeout;
     return { LogPromotionStep {
                  group.name, "promotion_ordered", endpoint.str() + " token " + std::to_string(group.token) },
         OrderPromotion { group.name, group.attempt, endpoint, group.token } };
 }
 
+void PromotionCoordinator::finishAttempt(Group& group)
+{
+    group.replacingSince.reset();
+    group.pauseUnconfirmed = false;
+    group.keepsLease = false;
+    group.hasUnconfirmedOrder = false;
+    group.unansweredOrders = 0;
+    group.phase = Phase::Idle;
+    ++group.attempt;
+}
+
 std::vector<PromotionEffect> PromotionCoordinator::handleOrderAnswer(const PromotionOrderAnswered& event, Instant now)
 {
     Group* group = this->findInPhase(event.group, event.attempt, Phase::Ordering);
@@ -626,6 +676,16 @@
     group->keepsLease = group->hasUnconfirmedOrder && group->unansweredOrders < this->settings.maxUnansweredOrders;
     if (event.status == PromotionOrderStatus::Refused || event.status == PromotionOrderStatus::NotCarriedOut)
         return this->retryLater(*group, now, "the promotion order was not accepted");
+    if (group->isRestoring && event.status == PromotionOrderStatus::Accepted) {
+        // After the end of the lease, another VM may have paused the replicas for a promotion.
+        if (now >= group->leaseExpiry)
+            return this->retryLater(*group, now, "the promotion lease expired before the replicas were resumed");
+        Effects effects = resumeReplicas(*group);
+        effects.insert(
+            effects.begin(), LogPromotionStep { group->name, "primary_restored", group->promotedEndpoint.str() });
+        finishAttempt(*group);
+        return effects;
+    }
     // An order without an answer may be executed much later. Were the lease to expire meanwhile, several VMs would
     // order in turn, and their orders would take effect in turn.
     group->phase = Phase::AwaitingNewPrimary;
@@ -658,6 +718,11 @@
 }
 
 std::vector<PromotionEffect> PromotionCoordinator::retryLater(Group& group, Instant now, const std::string& reason)
+{
+    return this->retryAt(group, now + this->settings.retryDelay + this->rankDelay(group.name), reason);
+}
+
+std::vector<PromotionEffect> PromotionCoordinator::retryAt(Group& group, Instant when, const std::string& reason)
 {
     ++group.attempt;
     Effects effects { LogPromotionStep { group.name, "promotion_postponed", reason } };
@@ -666,8 +731,7 @@
         return effects;
     }
     group.phase = Phase::WaitingForRank;
-    effects.emplace_back(
-        SetPromotionTimer { group.name, group.attempt, now + this->settings.retryDelay + this->rankDelay(group.name) });
+    effects.emplace_back(SetPromotionTimer { group.name, group.attempt, when });
     return effects;
 }
 
--- a/src/Promotion/PromotionCoordinator.h
+++ b/src/Promotion/PromotionCoordinator.h
@@ -5,6 +5,7 @@
 #include "Fleet/Directory.h"
 #include "Fleet/TableStore.h"
 #include "Promotion/PromotionMessages.h"
+#include "Promotion/Succession.h"
 
 #include <cstdint>
 #include <map>
@@ -47,6 +48,9 @@
 };
 
 /// Promotes a replica when most VMs cannot reach the primary of a group or when the primary is draining or evacuated.
+/// Which one may lead is decided by Succession. If an attempt that has kept the primary from acknowledging commits is
+/// given up because the primary is well, the primary is restored: it is ordered itself, so that earlier orders are
+/// refused, and its replicas receive again.
 /// An endpoint in an evacuated data centre is never promoted. Every VM runs a coordinator. A lease row in the
 /// platform's table allows one VM to act at a time, and the revision of that row together with the generation of the
 /// table is the fencing token of the promotion order. The class is a pure state machine: it reads no clock and does no
@@ -87,6 +91,7 @@
         ReadingFleet,
         RevokingPrimary,
         QueryingStatuses,
+        PausingReplicas,
         SteppingDown,
         CatchingUp,
         Ordering,
@@ -98,6 +103,7 @@
         bool isDraining = false;
         bool isEvacuated = false;
         std::string address;
+        uint64_t startedAt = 0; ///< Unix time in ms
 
         bool isLeaving() const { return this->isDraining || this->isEvacuated; }
 
@@ -112,11 +118,19 @@
         std::string lastPrimaryAddress;
         bool hasWaitedForPrimary = false; ///< other VMs had time to replace a primary that this VM does not know
         PrimaryRevocation revocation; ///< newest known one; its endpoint is empty if none is revoked
+        Succession succession;
         uint32_t synchronousReplicas = 0;
+        bool replicasPaused = false; ///< replicas may receive nothing, because of an attempt of this or another VM
+        bool pauseUnconfirmed = false; ///< the endpoints do not confirm that they pause; the primary is revoked instead
+        Instant ordersSettledAt {}; ///< by then, an order that was received has taken effect
         bool primaryUnreachable = false; ///< this VM cannot reach the primary
         Phase phase = Phase::Idle;
         uint64_t attempt = 0; ///< number of the current attempt; answers to earlier attempts are ignored
         EndpointId oldPrimary; ///< primary at the start of the attempt
+        bool isRestoring = false; ///< the attempt restores the primary
+        bool liftsRevocation = false; ///< the attempt lifts the revocation of an endpoint that was replaced before
+        CommitBarrier barrier = CommitBarrier::None;
+        uint64_t pauseTerm = 0; ///< of the pause in this attempt
         bool oldPrimaryIsLeaving = false; ///< true if the old primary is draining or evacuated but still reachable
         uint64_t leaseGeneration = 0; ///< generation of the table in which the lease was read
         uint64_t token = 0; ///< fencing token of the promotion order
@@ -128,7 +142,6 @@
         bool hasUnconfirmedOrder = false; ///< an order for `promotedEndpoint` may still be executed
         uint32_t unansweredOrders = 0; ///< consecutive orders of this VM without an answer
         bool keepsLease = false; ///< this VM renews its lease and orders again
-        uint64_t newestTerm = 0; ///< newest term known to this VM or reported by others
         std::optional<Instant> replacingSince; ///< first attempt since the primary was last reachable
 
         /// Returns true if the endpoint must not be used as the primary any more.
@@ -163,20 +176,27 @@
     Effects handleNotice(const PromotionNoticeReceived&, Instant now);
 
     bool needsPromotion(const Group&) const;
-    bool requiresRevocation() const { return this->settings.primaryLease > Duration {}; }
+    bool isUnfenced() const { return this->settings.primaryLease > Duration {}; }
+    bool requiresRevocation(const Group&) const;
+    bool canRestorePrimary(const Group&) const;
+    static const EndpointId& currentPrimary(const Group&);
     EndpointId endpointToRevoke(const Group&) const;
     PrimaryRevocation revocationOf(const Group&) const;
-    std::optional<EndpointId> chooseReplica(const Group&, const std::map<EndpointId, EndpointStatus>&) const;
     Effects waitForOtherVm(Group&, Instant now);
     Effects scheduleIfNeeded(Group&, Instant now);
     Effects startAttempt(Group&, Instant now);
     Effects readLease(Group&, Instant now);
     Duration leaseLifetime() const;
     Effects queryStatuses(Group&);
-    bool isOutdated(const Group&, const EndpointStatus&, Instant now) const;
-    bool mayLackAcknowledgedCommit(const Group&, size_t answeredReplicas) const;
-    Effects orderPromotion(Group&, const EndpointId&, Instant now);
+    SuccessionQuestion makeQuestion(const Group&, const std::map<EndpointId, EndpointStatus>&, Instant now) const;
+    static Effects pauseReplicas(Group&, const SuccessionQuestion&);
+    static Effects resumeReplicas(Group&);
+    Effects handleUnconfirmedPause(Group&, Instant now);
+    Effects restorePrimary(Group&, const std::map<EndpointId, EndpointStatus>&, Instant now);
+    Effects sendOrder(Group&, const EndpointId&, Instant now);
+    static void finishAttempt(Group&);
     Effects retryLater(Group&, Instant now, const std::string& reason);
+    Effects retryAt(Group&, Instant when, const std::string& reason);
     Effects setTimer(const Group&, Instant when) const;
     Group* findInPhase(const GroupId&, uint64_t attempt, Phase);
     Duration rankDelay(const GroupId&) const;
--- a/src/Promotion/PromotionMessages.h
+++ b/src/Promotion/PromotionMessages.h
@@ -6,6 +6,7 @@
 #include "Fleet/TableStore.h"
 #include "Limits/ShareLedger.h"
 #include "PrimaryLease/PrimaryRevocation.h"
+#include "Promotion/GroupRecord.h"
 #include "Statements/StatementAnswer.h"
 
 #include <cstdint>
@@ -164,11 +165,20 @@
     std::vector<FleetMember> members;
 };
 
+/// Command that an endpoint carries out before it reports its status.
+enum class ReplicationCommand {
+    None,
+    Pause, ///< stop receiving commits; ignored unless the term of the command is newer than any known to the replica
+    Resume, ///< receive commits again
+};
+
 /// Queries role, term and log position of endpoints.
 struct QueryEndpointStatuses {
     GroupId group;
     uint64_t attempt = 0;
     std::vector<EndpointId> endpoints;
+    ReplicationCommand command = ReplicationCommand::None;
+    uint64_t term = 0; ///< of a pause
 };
 
 /// Asks a primary to become a replica in the given term.
--- /dev/null
+++ b/src/Promotion/Succession.cpp
@@ -0,0 +1,118 @@
+#include "Promotion/Succession.h"
+
+#include <algorithm>
+
+namespace Lavendervane {
+
+using Action = SuccessionAnswer::Action;
+
+static SuccessionAnswer postpone(std::string reason)
+{
+    SuccessionAnswer answer;
+    answer.reason = std::move(reason);
+    return answer;
+}
+
+void Succession::learnTerm(uint64_t term) { this->seenTerm = std::max(this->seenTerm, term); }
+
+uint64_t Succession::newestTerm(const SuccessionQuestion& question) const
+{
+    uint64_t newest = this->seenTerm;
+    for (const auto& [id, status] : question.statuses)
+        newest = std::max(newest, status.term);
+    return newest;
+}
+
+uint64_t Succession::nextTerm(const SuccessionQuestion& question) const { return this->newestTerm(question) + 1; }
+
+uint64_t Succession::nextPauseTerm(const SuccessionQuestion& question) const
+{
+    uint64_t newest = this->newestTerm(question);
+    for (const auto& [id, status] : question.statuses)
+        newest = std::max(newest, status.heldTerm);
+    return newest + 1;
+}
+
+// Endpoints other than the old primary on which an acknowledged commit may be stored.
+std::set<EndpointId> Succession::possibleHolders(const SuccessionQuestion& question)
+{
+    std::set<EndpointId> holders;
+    for (const auto& [id, member] : question.members)
+        holders.insert(id);
+    holders.erase(question.oldPrimary);
+    return holders;
+}
+
+// Returns the endpoint with the highest log position. A promotion discards all commits that the promoted one lacks.
+static EndpointId mostAdvanced(const std::map<EndpointId, EndpointStatus>& statuses)
+{
+    const auto best = std::max_element(statuses.begin(), statuses.end(),
+        [](const auto& left, const auto& right) { return left.second.received < right.second.received; });
+    return best == statuses.end() ? EndpointId() : best->first;
+}
+
+// A replica that does not know the newest term lacks the commits of that term, and may hold commits that were discarded
+// when it began. An order without an answer may still be executed after a later one, and an unfenced platform does not
+// refuse it then; ordering the same endpoint again makes the late execution harmless.
+SuccessionAnswer Succession::decide(const SuccessionQuestion& question) const
+{
+    std::map<EndpointId, EndpointStatus> candidates = question.statuses;
+    candidates.erase(question.oldPrimary);
+    std::erase_if(candidates, [&question](const auto& candidate) {
+        const auto member = question.members.find(candidate.first);
+        return member != question.members.end() && member->second.isEvacuated;
+    });
+    const uint64_t newest = this->newestTerm(question);
+    const size_t outdated = question.acceptsOutdated
+        ? 0
+        : std::erase_if(candidates, [newest](const auto& candidate) { return candidate.second.term < newest; });
+    if (candidates.empty())
+        return postpone(outdated ? "the replicas that answered do not know the newest term"
+                                 : "no replica answered the status query");
+    const bool repeatsOrder
+        = question.barrier == CommitBarrier::PrimaryRevoked && candidates.count(question.orderedBefore);
+    const EndpointId best = repeatsOrder ? question.orderedBefore : mostAdvanced(candidates);
+    if (this->synchronousReplicas)
+        return this->requireAcknowledgedCommits(question, best);
+    return { Action::Promote, best, {}, false };
+}
+
+SuccessionAnswer Succession::requireAcknowledgedCommits(
+    const SuccessionQuestion& question, const EndpointId& best) const
+{
+    size_t missing = 0;
+    size_t notPaused = 0;
+    std::string names;
+    for (const EndpointId& holder : possibleHolders(question)) {
+        const auto status = question.statuses.find(holder);
+        if (status == question.statuses.end()) {
+            ++missing;
+            names += " " + holder.str();
+        }
+        notPaused += status == question.statuses.end() || status->second.heldTerm < question.pauseTerm;
+    }
+    SuccessionAnswer answer { Action::Postpone, best, {}, false };
+    if (missing >= this->synchronousReplicas) {
+        answer.reason = "replicas that may hold acknowledged commits did not answer:" + names;
+        answer.awaitsReplica = true;
+        return answer;
+    }
+    const bool receive = question.barrier == CommitBarrier::ReplicasPaused && notPaused >= this->synchronousReplicas;
+    if (question.barrier == CommitBarrier::None || receive) {
+        answer.action = Action::StopCommits;
+        return answer;
+    }
+    const LogPosition& position = question.statuses.at(best).received;
+    for (const auto& [id, member] : question.members) {
+        const auto status = question.statuses.find(id);
+        if (!member.isEvacuated || id == question.oldPrimary || status == question.statuses.end()
+            || status->second.received <= position)
+            continue;
+        answer.reason = "only a replica in an evacuated data centre holds all commits that may be acknowledged";
+        return answer;
+    }
+    answer.action = Action::Promote;
+    return answer;
+}
+
+} // namespace Lavendervane
--- a/src/Relay/PooledLink.cpp
+++ b/src/Relay/PooledLink.cpp
@@ -147,9 +147,8 @@
 // True if the batch consists of queries and orders of the proxy itself.
 bool PooledLink::isOwnStatement() const
 {
-    return std::all_of(this->statements.begin(), this->statements.end(), [](const Statement& statement) {
-        return statement.kind == StatementKind::Status || statement.kind == StatementKind::StepDown;
-    });
+    return std::all_of(this->statements.begin(), this->statements.end(),
+        [](const Statement& statement) { return returnsStatus(statement.kind); });
 }
 
 // Applies the leading reset, set-value and prepare statements to the state of the link and returns their number.
--- a/src/Relay/RelayMessages.cpp
+++ b/src/Relay/RelayMessages.cpp
@@ -78,7 +78,7 @@
     Json status;
     if (answer.status)
         status = Json::array({ static_cast<uint64_t>(answer.status->role), answer.status->term,
-            encodePosition(answer.status->received) });
+            encodePosition(answer.status->received), answer.status->heldTerm });
     return Json::array({ static_cast<uint64_t>(answer.code), answer.result, answer.message,
         static_cast<uint64_t>(answer.state), encodePosition(answer.position), std::move(status) });
 }
@@ -93,7 +93,9 @@
     answer.position = decodeOptionalPosition(json.at(4));
     if (const Json& status = json.at(5); !status.is_null())
         answer.status = EndpointStatus { decodeEnumeration(status.at(0), EndpointRole::Replica),
-            decodeUnsigned(status.at(1)), decodePosition(status.at(2)) };
+            decodeUnsigned(status.at(1)), decodePosition(status.at(2)),
+            // Older program versions do not send the field.
+            status.size() > 3 ? decodeUnsigned(status.at(3)) : 0 };
     return answer;
 }
 
--- a/src/Statements/AnswerMatcher.cpp
+++ b/src/Statements/AnswerMatcher.cpp
@@ -74,8 +74,7 @@
         return this->contradict("the answer to a begin may repeat an earlier one");
     this->remember(answer, due.statementId);
     // A status has no signature, so that an old one cannot be told from a new one.
-    if (due.kind == StatementKind::Status || due.kind == StatementKind::StepDown
-        || this->signedAnswers.size() >= maxSignedAnswers)
+    if (returnsStatus(due.kind) || this->signedAnswers.size() >= maxSignedAnswers)
         this->acceptsMore = false;
     this->state = answer.state;
     this->expected.pop_front();
--- a/src/Statements/CallerSession.cpp
+++ b/src/Statements/CallerSession.cpp
@@ -102,6 +102,8 @@
     case StatementKind::Reset:
     case StatementKind::Status:
     case StatementKind::StepDown:
+    case StatementKind::Pause:
+    case StatementKind::Resume:
     case StatementKind::Malformed:
         this->refuse(AnswerCode::Malformed, "unknown statement");
         return;
--- a/src/Statements/GroupInspector.cpp
+++ b/src/Statements/GroupInspector.cpp
@@ -24,8 +24,8 @@
     });
 }
 
-void inspectEndpoints(GroupTraffic& group, const std::vector<EndpointId>& endpoints, const OrganisationId& organisation,
-    Instant deadline, const StatusesCallback& callback)
+void inspectEndpoints(GroupTraffic& group, const std::vector<EndpointId>& endpoints, const Statement& statement,
+    const OrganisationId& organisation, Instant deadline, const StatusesCallback& callback)
 {
     struct Collection {
         std::map<EndpointId, EndpointStatus> statuses;
@@ -43,7 +43,7 @@
             finishOne();
             continue;
         }
-        queryStatus(*pool, makeProxyStatement(StatementKind::Status), organisation, deadline,
+        queryStatus(*pool, statement, organisation, deadline,
             [collection, endpoint, finishOne](std::optional<EndpointStatus> status) {
                 if (status)
                     collection->statuses.emplace(endpoint, *status);
@@ -53,17 +53,4 @@
     finishOne();
 }
 
-void stepDownPrimary(GroupTraffic& group, const EndpointId& endpoint, uint64_t term, const OrganisationId& organisation,
-    Instant deadline, const StatusCallback& callback)
-{
-    const auto pool = group.findPool(endpoint);
-    if (!pool) {
-        callback(std::nullopt);
-        return;
-    }
-    Statement statement = makeProxyStatement(StatementKind::StepDown);
-    statement.term = term;
-    queryStatus(*pool, statement, organisation, deadline, callback);
-}
-
 } // namespace Lavendervane
--- a/src/Statements/GroupTraffic.cpp
+++ b/src/Statements/GroupTraffic.cpp
@@ -98,8 +98,11 @@
 std::shared_ptr<EndpointPool> GroupTraffic::primary() const
 {
     std::shared_ptr<EndpointPool> found;
+    const bool awaitsSuccessor = this->timers.now() < this->successorAwaitedUntil;
     for (const auto& [id, member] : this->members) {
         const auto& pool = member.pool;
+        if (awaitsSuccessor && id != this->successor)
+            continue;
         const bool refused = std::find(this->rejectedPrimaries.begin(), this->rejectedPrimaries.end(), id)
             != this->rejectedPrimaries.end();
         if (refused || !this->acceptsWork(member) || pool->endpoint().role != EndpointRole::Primary)
@@ -118,6 +121,12 @@
         this->rejectedPrimaries.push_back(endpoint);
 }
 
+void GroupTraffic::awaitSuccessor(const EndpointId& promoted, Instant until)
+{
+    this->successor = promoted;
+    this->successorAwaitedUntil = until;
+}
+
 std::shared_ptr<EndpointPool> GroupTraffic::chooseForRead(const LogPosition& required,
     const OrganisationId& organisation, const std::vector<EndpointId>& triedEndpoints, Instant now)
 {
--- a/src/Statements/GroupTraffic.h
+++ b/src/Statements/GroupTraffic.h
@@ -35,6 +35,9 @@
     /// registry reports a change of the group's endpoints or roles.
     void markNotPrimary(const EndpointId&);
 
+    /// Uses no other endpoint than `successor` as the primary until the given time.
+    void awaitSuccessor(const EndpointId& successor, Instant until);
+
     /// Chooses the endpoint for a read that requires the log position `required`. Returns null if no endpoint is left.
     std::shared_ptr<EndpointPool> chooseForRead(
         const LogPosition& required, const OrganisationId&, const std::vector<EndpointId>& triedEndpoints, Instant now);
@@ -100,6 +103,8 @@
     /// Replica that this VM prefers for each organisation's reads.
     std::map<OrganisationId, EndpointId> preferredReplicas;
     std::vector<EndpointId> rejectedPrimaries;
+    EndpointId successor; ///< endpoint that is being promoted
+    Instant successorAwaitedUntil {};
     FreshnessLog freshnessLog;
     std::map<uint64_t, std::function<void()>> changeCallbacks;
     uint64_t lastCallbackId = 0;
--- a/src/Statements/Statement.h
+++ b/src/Statements/Statement.h
@@ -22,6 +22,8 @@
     Reset, ///< discards the session values and prepared statements of an endpoint connection; never sent by callers
     Status, ///< asks an endpoint for its role and positions; never sent by callers
     StepDown, ///< tells a primary of a lower term to become a replica; never sent by callers
+    Pause, ///< tells a replica to stop receiving commits; never sent by callers
+    Resume, ///< ends a pause; never sent by callers
     Malformed,
 };
 
@@ -45,18 +47,27 @@
     /// Used by Begin and BeginReadOnly only: an answer of an endpoint that repeats answers ends the connection if it
     /// may be a repetition, so that no statement runs outside the transaction.
     bool needsUniqueAnswer = false;
-    uint64_t term = 0; ///< used by StepDown only: a primary of a lower term steps down
+    /// StepDown: a primary of a lower term steps down. Pause: must be newer than any term known to the replica.
+    uint64_t term = 0;
     /// If set, the endpoint refuses a read or the begin of a transaction unless its log holds this position.
     std::optional<LogPosition> requiredPosition;
 
     friend bool operator==(const Statement&, const Statement&) = default;
 };
 
+/// Returns true for the queries and commands of the proxy itself that endpoints answer with their status.
+constexpr bool returnsStatus(StatementKind kind)
+{
+    return kind == StatementKind::Status || kind == StatementKind::StepDown || kind == StatementKind::Pause
+        || kind == StatementKind::Resume;
+}
+
 /// Makes a statement of the proxy itself, without identifier and text.
-inline Statement makeProxyStatement(StatementKind kind)
+inline Statement makeProxyStatement(StatementKind kind, uint64_t term = 0)
 {
     Statement statement;
     statement.kind = kind;
+    statement.term = term;
     return statement;
 }
 
--- a/src/Statements/StatementAnswer.h
+++ b/src/Statements/StatementAnswer.h
@@ -48,6 +48,7 @@
     EndpointRole role = EndpointRole::Replica;
     uint64_t term = 0; ///< newest term known to the endpoint
     LogPosition received; ///< position of the newest log entry held by the endpoint
+    uint64_t heldTerm = 0; ///< term with which the receipt of commits is paused; 0 if it is not paused
 
     friend bool operator==(const EndpointStatus&, const EndpointStatus&) = default;
 };
@@ -63,7 +64,7 @@
     std::string signature;
     TransactionState state = TransactionState::Idle;
     std::optional<LogPosition> position; ///< position of the end of the endpoint's log
-    std::optional<EndpointStatus> status; ///< set in answers to StatementKind::Status and StatementKind::StepDown
+    std::optional<EndpointStatus> status; ///< set in answers to statements for which `returnsStatus` is true
 
     friend bool operator==(const EndpointAnswer&, const EndpointAnswer&) = default;
 };
--- a/src/Statements/StatementService.cpp
+++ b/src/Statements/StatementService.cpp
@@ -76,6 +76,12 @@
         members[endpoint.group].push_back(endpoint);
         this->groupByEndpoint[endpoint.id] = endpoint.group;
     }
+    std::set<GroupId> synchronousGroups;
+    for (const GroupDeclaration& group : this->currentDirectory->configuration().groups) {
+        if (group.synchronousReplicas)
+            synchronousGroups.insert(group.name);
+    }
+    this->lease.setGuardedGroups(std::move(synchronousGroups));
     for (const auto& [name, endpoints] : members) {
         auto& group = this->groups[name];
         if (!group)
@@ -186,6 +192,9 @@
             [&revocation](
                 const RegisteredEndpoint& endpoint) { return revocation.applies(endpoint.id, endpoint.address); },
             "the endpoint is being replaced as the primary");
+        // Statements may wait for a primary that is not revoked any more.
+        if (revocation.endpoint.empty())
+            group->runChangeCallbacks();
     }
     this->checkIsolation();
 }
@@ -262,8 +271,7 @@
     } else if (const auto* answer = std::get_if<ReachabilityReply>(&message)) {
         this->reachabilityPoll.handleReply(sender, *answer);
     } else if (const auto* notice = std::get_if<PromotionNotice>(&message)) {
-        if (GroupTraffic* group = this->findGroup(notice->group))
-            group->primaryExpectedAt = this->clock.now() + std::chrono::milliseconds(notice->expectedInMs);
+        this->expectPrimary(notice->group, notice->endpoint, std::chrono::milliseconds(notice->expectedInMs));
         this->listener.promotionNoticeReceived(notice->group);
     } else if (const auto* leaseRequest = std::get_if<LeaseRequest>(&message)) {
         this->lease.handle(sender, *leaseRequest);
@@ -300,28 +308,16 @@
     return organisations.empty() ? OrganisationId() : organisations.front().name;
 }
 
-void StatementService::inspect(
-    const GroupId& name, const std::vector<EndpointId>& endpoints, const StatusesCallback& callback)
+void StatementService::inspect(const GroupId& name, const std::vector<EndpointId>& endpoints,
+    const Statement& statement, const StatusesCallback& callback)
 {
     GroupTraffic* group = this->findGroup(name);
     if (!group) {
         callback({});
         return;
     }
-    inspectEndpoints(
-        *group, endpoints, this->anyOrganisation(), this->clock.now() + this->options.inspectionTimeout, callback);
-}
-
-void StatementService::stepDown(const GroupId& name, const EndpointId& endpoint, uint64_t term,
-    const std::function<void(std::optional<EndpointStatus>)>& callback)
-{
-    GroupTraffic* group = this->findGroup(name);
-    if (!group) {
-        callback(std::nullopt);
-        return;
-    }
-    stepDownPrimary(
-        *group, endpoint, term, this->anyOrganisation(), this->clock.now() + this->options.inspectionTimeout, callback);
+    inspectEndpoints(*group, endpoints, statement, this->anyOrganisation(),
+        this->clock.now() + this->options.inspectionTimeout, callback);
 }
 
 void StatementService::pollReachability(
@@ -333,12 +329,23 @@
 void StatementService::announcePromotion(const GroupId& name, const EndpointId& endpoint, Duration expectedIn)
 {
     const auto time = std::chrono::duration_cast<std::chrono::milliseconds>(std::max(expectedIn, Duration {}));
-    if (GroupTraffic* group = this->findGroup(name))
-        group->primaryExpectedAt = this->clock.now() + time;
+    this->expectPrimary(name, endpoint, time);
     for (const std::string& address : this->reachabilityPoll.peers())
         this->peers.send(address, PromotionNotice { name, endpoint, static_cast<uint64_t>(time.count()) });
 }
 
+// A primary whose replicas are paused acknowledges nothing, so that what it runs would be rolled back.
+void StatementService::expectPrimary(const GroupId& name, const EndpointId& endpoint, Duration expectedIn)
+{
+    GroupTraffic* group = this->findGroup(name);
+    if (!group)
+        return;
+    group->primaryExpectedAt = this->clock.now() + expectedIn;
+    const GroupDeclaration* declared = this->currentDirectory->findGroup(name);
+    if (declared && declared->synchronousReplicas && !endpoint.empty())
+        group->awaitSuccessor(endpoint, *group->primaryExpectedAt + this->options.successorGrace);
+}
+
 void StatementService::announceMember(const FleetMember& member, const std::vector<std::string>& addresses)
 {
     for (const std::string& address : addresses)
--- a/src/Statements/StatementService.h
+++ b/src/Statements/StatementService.h
@@ -46,6 +46,8 @@
     /// How long an operation waits for a reachable primary, counted from its arrival or from the time at which a new
     /// primary is expected.
     Duration primaryChangeTimeout = std::chrono::milliseconds(150);
+    /// How long after the expected time the old primary stays unused, with synchronous replication.
+    Duration successorGrace = std::chrono::milliseconds(500);
 };
 
 /// Numbers of sessions, for logs.
@@ -115,12 +117,8 @@
 
     void setPeers(const std::vector<FleetMember>&);
 
-    /// Queries the status of endpoints of a group.
-    void inspect(const GroupId&, const std::vector<EndpointId>&, const StatusesCallback&);
-
-    /// Tells a primary of a term lower than `term` to become a replica.
-    void stepDown(
-        const GroupId&, const EndpointId&, uint64_t term, const std::function<void(std::optional<EndpointStatus>)>&);
+    /// Sends a statement that returns the status (see `returnsStatus`) to endpoints of a group.
+    void inspect(const GroupId&, const std::vector<EndpointId>&, const Statement&, const StatusesCallback&);
 
     /// Asks other VMs whether they reach the endpoint.
     void pollReachability(const GroupId&, const EndpointId&, ReachabilityPoll::Callback);
@@ -182,6 +180,7 @@
     void primaryRevoked(const PrimaryRevocation&) override;
     bool canUsePrimary(const GroupTraffic&) const;
     void endEvacuatedTransactions();
+    void expectPrimary(const GroupId&, const EndpointId&, Duration expectedIn);
     void scheduleTransactionEnd();
     OrganisationId anyOrganisation() const;
 
--- a/tests/Adapter/WireTest.cpp
+++ b/tests/Adapter/WireTest.cpp
@@ -85,6 +85,8 @@
     Statement step = makeProxyStatement(StatementKind::StepDown);
     step.term = 4;
     BOOST_TEST(encodeStatement(step) == "QUERY - STEPDOWN 4\r\n");
+    BOOST_TEST(encodeStatement(makeProxyStatement(StatementKind::Pause, 5)) == "QUERY - PAUSE 5\r\n");
+    BOOST_TEST(encodeStatement(makeProxyStatement(StatementKind::Resume)) == "QUERY - RESUME\r\n");
 }
 
 // Guards against a text that reaches the endpoint otherwise than its caller sent it.
@@ -173,10 +175,10 @@
 BOOST_AUTO_TEST_CASE(AnswerDecoder_Status_ReadsRoleTermAndPosition)
 {
     AnswerDecoder decoder;
-    feed(decoder, { "ROW replica 3 3.1209 0 12 2 17", "COMPLETE -", "READY I 3.1204" });
+    feed(decoder, { "ROW replica 3 3.1209 4 12 2 17", "COMPLETE -", "READY I 3.1204" });
     const auto status = decoder.take().status;
     BOOST_REQUIRE(status);
-    BOOST_TEST((*status == EndpointStatus { EndpointRole::Replica, 3, { { 3, {} }, 1209 } }));
+    BOOST_TEST((*status == EndpointStatus { EndpointRole::Replica, 3, { { 3, {} }, 1209 }, 4 }));
 }
 
 // Guards against an incomplete answer, followed by another message, that counts as a success.
--- a/tests/PrimaryLease/LeaseFleet.cpp
+++ b/tests/PrimaryLease/LeaseFleet.cpp
@@ -142,6 +142,7 @@
     started.lease = std::make_unique<PrimaryLease>(started.timers, started, this->members[vm].vm,
         this->members[vm].dataCentre, this->settings, this->random.next(), started);
     started.lease->setMembers(this->members);
+    started.lease->setGuardedGroups({ group });
     if (!readsTable)
         return;
     std::vector<PrimaryRevocation> stored;
--- a/tests/PrimaryLease/PrimaryLeaseTest.cpp
+++ b/tests/PrimaryLease/PrimaryLeaseTest.cpp
@@ -166,6 +166,34 @@
     BOOST_TEST(fenced.countUsing(oldPrimary) == fenced.size());
 }
 
+// Guards against a VM that has missed the revocation and goes on using a primary: without leases, nothing else stops
+// it.
+BOOST_AUTO_TEST_CASE(Revocation_WithoutLeases_CompletesOnlyWhenEveryVmConfirms)
+{
+    LeaseFleet fenced { 3, 4, {}, 1 };
+    fenced.pause(5, true);
+    const auto keepResult = [this](bool complete) { this->result = complete; };
+    fenced.revoke(1, { LeaseFleet::group, oldPrimary, 1 }, keepResult);
+    fenced.advance(5s);
+    BOOST_REQUIRE(this->result.has_value());
+    BOOST_TEST(!*this->result);
+    fenced.pause(5, false);
+    fenced.revoke(1, { LeaseFleet::group, oldPrimary, 2 }, keepResult);
+    fenced.advance(1s);
+    BOOST_TEST(*this->result);
+    BOOST_TEST(fenced.countUsing(oldPrimary) == 0U);
+}
+
+// Guards against a VM that has restarted, and uses a primary whose revocation it has forgotten.
+BOOST_AUTO_TEST_CASE(Restart_WithoutLeasesAndTable_PrimariesOfGuardedGroupsAreNotUsed)
+{
+    LeaseFleet fenced { 3, 4, {}, 1 };
+    fenced.restart(3, false);
+    BOOST_TEST(!fenced.mayUse(3, EndpointId("b")));
+    fenced.restart(3);
+    BOOST_TEST(fenced.mayUse(3, EndpointId("b")));
+}
+
 // Guards against a replaced primary that goes on under another ID at its address.
 BOOST_AUTO_TEST_CASE(Revocation_OtherEndpointAtRevokedAddress_IsNotUsed)
 {
--- a/tests/Promotion/PromotionCoordinatorTest.cpp
+++ b/tests/Promotion/PromotionCoordinatorTest.cpp
@@ -96,11 +96,31 @@
         this->fireTimer();
         const uint64_t attempt = this->find<PollReachability>()->attempt;
         this->handle(ReachabilityPolled { stock, attempt, 9, 2, 7 });
-        this->handle(LeaseReadAnswered { stock, attempt, this->reply(TableStatus::Done, 0) });
+        this->handle(LeaseReadAnswered {
+            stock, attempt, this->reply(TableStatus::Done, this->leaseRow.empty() ? 0 : 40, this->leaseRow) });
         this->handle(LeaseWriteAnswered { stock, attempt, this->reply(TableStatus::Done, 41) });
         return attempt;
     }
 
+    static EndpointStatus paused(uint64_t position, uint64_t heldTerm)
+    {
+        EndpointStatus made = status(position);
+        made.heldTerm = heldTerm;
+        return made;
+    }
+
+    /// Runs an unplanned promotion with one synchronous replica up to the pause of the replicas.
+    uint64_t advanceToPause()
+    {
+        this->synchronousReplicas = 1;
+        this->registry(EndpointRole::Primary, EndpointRole::Replica);
+        const uint64_t attempt = this->advanceToStatusQuery();
+        this->handle(EndpointStatusesReceived { stock, attempt, { { b, status(53) }, { c, status(52) } } });
+        BOOST_REQUIRE(this->find<QueryEndpointStatuses>());
+        BOOST_TEST((this->find<QueryEndpointStatuses>()->command == ReplicationCommand::Pause));
+        return attempt;
+    }
+
     /// Runs an unplanned promotion of endpoints that are not fenced up to the revocation of the old primary.
     uint64_t advanceToRevocation()
     {
@@ -123,6 +143,7 @@
 
     uint32_t synchronousReplicas = 0;
     uint64_t generation = 0; ///< generation of the table
+    std::string leaseRow; ///< the group's row before the attempt; empty if there is none
     PromotionCoordinator coordinator { VmId("vm-1"), "run-1", {} };
     Instant now { 100s };
     std::vector<PromotionEffect> effects;
@@ -157,14 +178,109 @@
     BOOST_TEST(this->find<SetPromotionTimer>());
 }
 
-BOOST_AUTO_TEST_CASE(Primary_AllSynchronousReplicasAnswer_PromotesFurthest)
+// A crashed primary may be back before its successor leads, and acknowledge commits that the successor lacks. Its
+// replicas must have stopped receiving before the successor is chosen.
+BOOST_AUTO_TEST_CASE(Primary_AllSynchronousReplicasAnswer_PausesThemAndPromotesFurthest)
 {
-    this->synchronousReplicas = 1;
-    this->registry(EndpointRole::Primary, EndpointRole::Replica);
+    const uint64_t attempt = this->advanceToPause();
+    const auto* pause = this->find<QueryEndpointStatuses>();
+    BOOST_TEST(!this->find<OrderPromotion>());
+    BOOST_TEST((pause->endpoints == std::vector<EndpointId> { b, c }));
+    BOOST_TEST(pause->term == 2U);
+    this->handle(EndpointStatusesReceived { stock, attempt, { { b, paused(53, 2) }, { c, paused(52, 2) } } });
+    BOOST_REQUIRE(this->find<OrderPromotion>());
+    BOOST_TEST(this->find<OrderPromotion>()->endpoint == b);
+}
+
+// Guards against a pause that is taken for done by an endpoint that answers the command without its state.
+BOOST_AUTO_TEST_CASE(Pause_NotConfirmed_PrimaryIsRevokedAtAllVmsBeforeOrder)
+{
+    for (const auto& statuses : { std::map<EndpointId, EndpointStatus> {},
+             std::map<EndpointId, EndpointStatus> { { b, paused(53, 2) }, { c, status(52) } } }) {
+        CoordinatorFixture fresh;
+        uint64_t attempt = fresh.advanceToPause();
+        fresh.handle(EndpointStatusesReceived { stock, attempt, statuses });
+        BOOST_TEST(!fresh.find<OrderPromotion>());
+        BOOST_REQUIRE(fresh.find<ReadLease>());
+        attempt = fresh.find<ReadLease>()->attempt;
+        fresh.handle(LeaseReadAnswered { stock, attempt, fresh.reply(TableStatus::Done, 41, R"({"run":"run-1"})") });
+        const RowWrite write = fresh.find<WriteLease>()->transaction.writes.front();
+        BOOST_TEST(PromotionCoordinator::storedRevocation({ write.key, 42, write.value })->endpoint == a);
+        fresh.handle(LeaseWriteAnswered { stock, attempt, fresh.reply(TableStatus::Done, 42) });
+        fresh.handle(FleetReadAnswered { stock, attempt, { { { VmId("vm-2"), DataCentre("dc-1"), "10.0.0.2:1" } } } });
+        BOOST_REQUIRE(fresh.find<RevokePrimary>());
+        fresh.handle(PrimaryRevocationFinished { stock, attempt, true });
+        fresh.handle(EndpointStatusesReceived { stock, attempt, { { b, status(53) }, { c, status(54) } } });
+        BOOST_REQUIRE(fresh.find<OrderPromotion>());
+        BOOST_TEST(fresh.find<OrderPromotion>()->endpoint == c);
+    }
+}
+
+// Guards against replicas that stay paused after an attempt was given up, so that no commit is acknowledged, and
+// against an order that takes effect after they receive again.
+BOOST_AUTO_TEST_CASE(Primary_BackAfterPause_IsRestoredOnceOrdersAreSettled)
+{
+    const uint64_t attempt = this->advanceToPause();
+    this->handle(EndpointStatusesReceived { stock, attempt, { { b, paused(53, 2) }, { c, paused(52, 2) } } });
+    const Instant orderedAt = this->now;
+    this->handle(PromotionOrderAnswered { stock, attempt, PromotionOrderStatus::Unknown });
+    this->handle(EndpointReachabilityChanged { stock, a, true });
+    while (!this->find<WriteLease>()) {
+        this->fireTimer();
+        BOOST_REQUIRE((this->now < orderedAt + 10s));
+        if (const auto* read = this->find<ReadLease>())
+            this->handle(LeaseReadAnswered {
+                stock, read->attempt, this->reply(TableStatus::Done, 41, R"({"run":"run-1","until":9000})") });
+    }
+    BOOST_TEST((this->now >= orderedAt + 3s));
+    const uint64_t restoring = this->find<WriteLease>()->attempt;
+    this->handle(LeaseWriteAnswered { stock, restoring, this->reply(TableStatus::Done, 43) });
+    this->handle(EndpointStatusesReceived {
+        stock, restoring, { { a, status(54, EndpointRole::Primary) }, { b, paused(53, 2) }, { c, paused(52, 2) } } });
+    BOOST_REQUIRE(this->find<OrderPromotion>());
+    BOOST_TEST(this->find<OrderPromotion>()->endpoint == a);
+    BOOST_TEST(this->find<OrderPromotion>()->token == 43U);
+    this->handle(PromotionOrderAnswered { stock, restoring, PromotionOrderStatus::Accepted });
+    BOOST_REQUIRE(this->find<QueryEndpointStatuses>());
+    BOOST_TEST((this->find<QueryEndpointStatuses>()->command == ReplicationCommand::Resume));
+    BOOST_TEST((this->find<QueryEndpointStatuses>()->endpoints == std::vector<EndpointId> { b, c }));
+}
+
+// Guards against a resumption while an order is under way: a crashed primary is back under another ID.
+BOOST_AUTO_TEST_CASE(Primary_BackUnderOtherIdAfterPause_ReplicasStayPaused)
+{
+    const auto at = [](RegisteredEndpoint made, const char* address) {
+        made.address = address;
+        return made;
+    };
+    const auto update = [&](const char* primary) {
+        this->handle(RegistryUpdated { { at(endpoint(EndpointId(primary), EndpointRole::Primary), "10.0.0.11:1"),
+                                           at(endpoint(b, EndpointRole::Replica), "10.0.0.12:1"),
+                                           at(endpoint(c, EndpointRole::Replica), "10.0.0.13:1") },
+            { { stock, 1 } } });
+    };
+    update("a");
     const uint64_t attempt = this->advanceToStatusQuery();
     this->handle(EndpointStatusesReceived { stock, attempt, { { b, status(53) }, { c, status(52) } } });
+    this->handle(EndpointStatusesReceived { stock, attempt, { { b, paused(53, 2) }, { c, paused(52, 2) } } });
     BOOST_REQUIRE(this->find<OrderPromotion>());
-    BOOST_TEST(this->find<OrderPromotion>()->endpoint == b);
+    update("a2");
+    BOOST_TEST(!this->find<QueryEndpointStatuses>());
+    BOOST_TEST(this->find<SetPromotionTimer>());
+}
+
+// Guards against a step-down that is taken for done by an endpoint that goes on as the primary.
+BOOST_AUTO_TEST_CASE(StepDown_NotConfirmed_OrdersNothing)
+{
+    this->registry(EndpointRole::Primary, EndpointRole::Replica, true);
+    this->fireTimer();
+    const uint64_t attempt = this->find<ReadLease>()->attempt;
+    this->handle(LeaseReadAnswered { stock, attempt, this->reply(TableStatus::Done, 0) });
+    this->handle(LeaseWriteAnswered { stock, attempt, this->reply(TableStatus::Done, 5) });
+    this->handle(EndpointStatusesReceived { stock, attempt, { { b, status(58) }, { c, status(57) } } });
+    this->handle(StepDownAnswered { stock, attempt, status(61, EndpointRole::Primary) });
+    BOOST_TEST(!this->find<QueryEndpointStatuses>());
+    BOOST_TEST(this->find<SetPromotionTimer>());
 }
 
 // If only a minority of VMs cannot reach the primary, it is still running and a promotion would lose acknowledged
--- a/tests/Relay/RelayTest.cpp
+++ b/tests/Relay/RelayTest.cpp
@@ -137,7 +137,7 @@
     const auto link = this->open(vm, "a", listener);
     this->settle();
     this->drain("a", this->timers.now(), vm);
-    for (const StatementKind kind : { StatementKind::Status, StatementKind::StepDown }) {
+    for (const StatementKind kind : { StatementKind::Status, StatementKind::StepDown, StatementKind::Pause }) {
         this->send(*link, { statement(kind) });
         this->settle();
         BOOST_TEST((listener.answers.back().front().code == AnswerCode::Done));
--- a/tests/Statements/AnswerMatcherTest.cpp
+++ b/tests/Statements/AnswerMatcherTest.cpp
@@ -234,7 +234,7 @@
 // Guards against an old status that is taken for the present one.
 BOOST_AUTO_TEST_CASE(Status_Answered_LinkIsExhausted)
 {
-    for (const StatementKind kind : { StatementKind::Status, StatementKind::StepDown }) {
+    for (const StatementKind kind : { StatementKind::Status, StatementKind::StepDown, StatementKind::Pause }) {
         AnswerMatcher fresh;
         fresh.expect({ makeProxyStatement(kind) });
         BOOST_TEST((fresh.match(success("")) == Verdict::Matches));
