Wait for a replica that left the registry with commits that only it holds

Callers lost writes that had been acknowledged: with sync_replicas 1, the primary and a replica crashed together, and the replica that lacked the last commits was promoted as soon as the other one's entry had lapsed.

Cause: the endpoints that are registered at the moment were taken for all that may hold commits.

Change: ReplicaRecorder keeps the endpoints that may hold acknowledged commits in the group's row on the platform's store, until the others have received all that an absent one can hold, or another endpoint has taken over at its address. Succession counts them. A promotion that waits is logged and shown in a metric. The recorder also finds replicas that stay paused, so that the primary is restored if the VM that paused them has ended. Attempts that wait are repeated once a second.

--- a/src/Fleet/FleetControl.cpp
+++ b/src/Fleet/FleetControl.cpp
@@ -37,6 +37,7 @@
     , metrics(metrics)
     , membership(this->settings.self, this->settings.membership, this->settings.seed)
     , promotionCoordinator(this->settings.self.vm, this->settings.runId, this->settings.promotion)
+    , replicaRecorder(this->settings.self.vm, this->settings.replicaRecorder)
     , random(this->settings.seed)
     , digestKey(randomBytes(digestKeyBytes))
     , drainClock(this->settings.drainLimit)
@@ -63,6 +64,8 @@
         this->timers.cancel(*this->revocationTimer);
     if (this->feedMonitorTimer)
         this->timers.cancel(*this->feedMonitorTimer);
+    if (this->recorderTimer)
+        this->timers.cancel(*this->recorderTimer);
 }
 
 void FleetControl::follow(DirectoryFeed& followed)
@@ -85,6 +88,7 @@
 {
     this->log.write("store_restored", { { "generation", std::to_string(generation) } });
     this->handlePromotionEvent(TableRestored {});
+    this->handleRecorderEvent(TableRestored {});
     this->handleMembershipEvent(TableRestored {});
     if (this->shareLeaseManager)
         this->executeShareEffects(this->shareLeaseManager->handle(TableRestored {}, this->timers.now()));
@@ -461,6 +465,7 @@
     for (const GroupDeclaration& group : this->configuration->groups)
         update.synchronousReplicas[group.name] = group.synchronousReplicas;
     this->handlePromotionEvent(update);
+    this->handleRecorderEvent(update);
     this->readStoredRevocationsIfNeeded();
     // The traffic thread must see at most one primary in each group.
     for (RegisteredEndpoint& endpoint : endpoints) {
@@ -592,6 +597,14 @@
                 this->metrics.promotionOrdered(toString(status));
                 answer(PromotionOrderAnswered { group, attempt, status });
             });
+    } else if (const auto* report = std::get_if<ReportBlockedPromotion>(&effect)) {
+        if (report->blocked)
+            this->blockedGroups.insert(report->group);
+        else
+            this->blockedGroups.erase(report->group);
+        this->metrics.setBlockedPromotions(this->blockedGroups.size());
+        this->log.write(
+            report->blocked ? "promotion_blocked" : "promotion_unblocked", { { "group", report->group.str() } });
     } else if (const auto* announce = std::get_if<AnnouncePromotion>(&effect)) {
         this->traffic.announcePromotion(*announce);
     } else if (const auto* timer = std::get_if<SetPromotionTimer>(&effect)) {
@@ -603,6 +616,44 @@
     }
 }
 
+void FleetControl::handleRecorderEvent(const RecorderEvent& event)
+{
+    for (const RecorderEffect& effect : this->replicaRecorder.handle(event, this->timers.now()))
+        this->executeRecorderEffect(effect);
+}
+
+void FleetControl::executeRecorderEffect(const RecorderEffect& effect)
+{
+    const std::weak_ptr<int> guard = this->lifetime;
+    const auto answer = [this, guard](const RecorderEvent& event) {
+        if (!guard.expired())
+            this->handleRecorderEvent(event);
+    };
+    if (const auto* read = std::get_if<ReadGroupRecord>(&effect)) {
+        this->table.readRow(read->key, [answer, group = read->group](TableReply reply) {
+            answer(GroupRecordAnswered { group, std::move(reply) });
+        });
+    } else if (const auto* write = std::get_if<WriteGroupRecord>(&effect)) {
+        this->table.transact(write->transaction, [answer, group = write->group](TableReply reply) {
+            answer(GroupRecordAnswered { group, std::move(reply) });
+        });
+    } else if (const auto* query = std::get_if<QueryEndpointStatuses>(&effect)) {
+        this->traffic.queryStatuses(*query,
+            [answer](EndpointStatusesReceived statuses) { answer(ReplicaStatusesReceived { std::move(statuses) }); });
+    } else if (const auto* timer = std::get_if<SetRecorderTimer>(&effect)) {
+        if (this->recorderTimer)
+            this->timers.cancel(*this->recorderTimer);
+        this->recorderTimer = this->timers.schedule(timer->when, [this] {
+            this->recorderTimer.reset();
+            this->handleRecorderEvent(RecorderTimerFired {});
+        });
+    } else if (const auto* paused = std::get_if<PausedReplicasFound>(&effect)) {
+        this->handlePromotionEvent(*paused);
+    } else if (const auto* line = std::get_if<LogPromotionStep>(&effect)) {
+        this->log.write(line->step, { { "group", line->group.str() }, { "detail", line->detail } });
+    }
+}
+
 // The rows of VMs that hold a lease may be missing after a restore of the table.
 std::vector<FleetMember> FleetControl::mergeKnownMembers(std::vector<FleetMember> read) const
 {
@@ -629,6 +680,7 @@
     for (const FleetMember& peer : vms)
         change.vms.push_back(peer.vm);
     this->handlePromotionEvent(change);
+    this->handleRecorderEvent(change);
     this->hasJoinedFleet = true;
     this->readStoredRevocationsIfNeeded();
     // While many VMs join at the same time, none of them knows yet which ones are to hold the shares.
--- a/src/Fleet/FleetControl.h
+++ b/src/Fleet/FleetControl.h
@@ -12,6 +12,7 @@
 #include "Fleet/TableStore.h"
 #include "Limits/ShareLeaseManager.h"
 #include "Promotion/PromotionCoordinator.h"
+#include "Promotion/ReplicaRecorder.h"
 #include "Runtime/StructuredLog.h"
 #include "Runtime/Timers.h"
 
@@ -34,6 +35,7 @@
     FleetMembershipSettings membership;
     ShareLeaseSettings shares;
     PromotionCoordinatorSettings promotion;
+    ReplicaRecorderSettings replicaRecorder;
     FeedMonitorSettings feedMonitor;
     /// Time after which an endpoint with a lapsed registration is removed. Registrations that lapse while the store is
     /// unavailable are renewed within two seconds of its return.
@@ -146,6 +148,8 @@
     void scheduleRevocationRecords(Duration delay);
     void executeShareEffects(std::vector<ShareEffect>);
     void executePromotionEffect(PromotionEffect&);
+    void handleRecorderEvent(const RecorderEvent&);
+    void executeRecorderEffect(const RecorderEffect&);
     void handleFeedMonitorEvent(const FeedMonitorEvent&);
     void executeFeedMonitorEffect(const FeedMonitorEffect&);
     void onShareTimer();
@@ -166,6 +170,9 @@
     std::optional<Timers::Handle> membershipTimer;
     std::optional<Timers::Handle> memberListTimer; ///< ends the wait for further changes of the list
     PromotionCoordinator promotionCoordinator;
+    std::set<GroupId> blockedGroups; ///< groups whose promotion waits for a replica
+    ReplicaRecorder replicaRecorder;
+    std::optional<Timers::Handle> recorderTimer;
     std::map<GroupId, PrimaryRevocation> revocations; ///< newest known revocation of each group
     std::optional<Timers::Handle> revocationTimer;
     RandomGenerator random;
--- a/src/Metrics/SessionMetrics.cpp
+++ b/src/Metrics/SessionMetrics.cpp
@@ -108,6 +108,8 @@
               addGauge(registry, "lavendervane_evacuated_data_centres", "Data centres that are evacuated"))
         , groupsWithoutEndpoint(addGauge(registry, "lavendervane_groups_without_endpoint",
               "Groups that evacuations have left without an endpoint"))
+        , blockedPromotions(addGauge(registry, "lavendervane_promotions_blocked",
+              "Groups without a primary until replicas answer that may hold acknowledged commits"))
         , storeGeneration(addGauge(registry, "lavendervane_store_generation",
               "Generation of the store's content; rises when the store is restored from an older copy"))
     {
@@ -145,6 +147,7 @@
     Gauge& storeAvailable;
     Gauge& evacuatedDataCentres;
     Gauge& groupsWithoutEndpoint;
+    Gauge& blockedPromotions;
     Gauge& storeGeneration;
 };
 
@@ -233,6 +236,11 @@
     this->families->groupsWithoutEndpoint.Set(static_cast<double>(count));
 }
 
+void SessionMetrics::setBlockedPromotions(size_t groups)
+{
+    this->families->blockedPromotions.Set(static_cast<double>(groups));
+}
+
 void SessionMetrics::transactionEvacuated() { this->families->evacuatedTransactions.Increment(); }
 
 void SessionMetrics::feedRechecked(std::string_view reason)
--- a/src/Metrics/SessionMetrics.h
+++ b/src/Metrics/SessionMetrics.h
@@ -85,6 +85,9 @@
     /// Counts an order to promote an endpoint. `result` is the outcome of the order.
     void promotionOrdered(std::string_view result);
 
+    /// Sets the number of groups that have no primary until replicas answer that may hold acknowledged commits.
+    void setBlockedPromotions(size_t groups);
+
 private:
     struct Families;
     std::unique_ptr<Families> families;
--- a/src/Promotion/GroupRecord.cpp
+++ b/src/Promotion/GroupRecord.cpp
@@ -33,6 +33,14 @@
     if (const auto revoked = textField(json, "revoked"))
         record.revoked = EndpointId(*revoked);
     record.revokedAddress = textField(json, "revoked_address").value_or("");
+    const auto members = json.find("members");
+    if (members != json.end() && members->is_object()) {
+        for (const auto& [id, address] : members->items()) {
+            if (address.is_string())
+                record.members.emplace(id, address.get<std::string>());
+        }
+    }
+    record.primary = EndpointId(textField(json, "primary").value_or(""));
     return record;
 }
 
@@ -44,6 +52,12 @@
         json["revoked"] = this->revoked->str();
         json["revoked_address"] = this->revokedAddress;
     }
+    if (!this->members.empty()) {
+        json["members"] = Json::object();
+        for (const auto& [id, address] : this->members)
+            json["members"][id.str()] = address;
+        json["primary"] = this->primary.str();
+    }
     return json.dump();
 }
 
--- a/src/Promotion/GroupRecord.h
+++ b/src/Promotion/GroupRecord.h
@@ -4,6 +4,7 @@
 #include "Fleet/TableStore.h"
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 
@@ -20,6 +21,11 @@
     std::optional<EndpointId> revoked; ///< revoked primary; empty ID if none is; nothing if none ever was
     std::string revokedAddress;
 
+    /// Addresses ("IP:port") of the endpoints that may hold commits which were acknowledged, including those that are
+    /// not registered any more. Kept for groups with synchronous replication only.
+    std::map<EndpointId, std::string> members;
+    EndpointId primary; ///< the primary when `members` was written
+
     /// Rows may be missing or written by another version of the program: what cannot be read is left empty.
     static GroupRecord parse(const TableRow&);
     std::string encode() const;
--- a/src/Promotion/PromotionCoordinator.cpp
+++ b/src/Promotion/PromotionCoordinator.cpp
@@ -86,6 +86,8 @@
         return this->handleRevocationFinished(*finished, now);
     if (const auto* learnt = std::get_if<PrimaryRevocationLearnt>(&event))
         return this->handleRevocationLearnt(*learnt, now);
+    if (const auto* paused = std::get_if<PausedReplicasFound>(&event))
+        return this->handlePausedReplicas(*paused, now);
     if (std::holds_alternative<TableRestored>(event)) {
         this->handleTableRestore(now);
         return {};
@@ -199,6 +201,7 @@
             if (!primary.empty() && !group.isRevoked(primary)) {
                 // A promotion ends the pause. Until then the former primary may be back, and its replicas stay paused.
                 group.replicasPaused = group.replicasPaused && !isReplaced;
+                reportBlocked(group, false, effects);
                 finishAttempt(group);
             }
         } else if (!primary.empty()) {
@@ -244,7 +247,7 @@
 {
     if (!group.primary.empty())
         return group.primary;
-    return group.lastPrimary;
+    return group.lastPrimary.empty() ? group.succession.knownRecord().primary : group.lastPrimary;
 }
 
 std::vector<PromotionEffect> PromotionCoordinator::scheduleIfNeeded(Group& group, Instant now)
@@ -268,9 +271,14 @@
     if (found == this->groups.end() || found->second.primary != event.endpoint)
         return {};
     found->second.primaryUnreachable = !event.reachable;
-    if (event.reachable)
+    Effects effects;
+    if (event.reachable) {
         found->second.replacingSince.reset();
-    return this->scheduleIfNeeded(found->second, now);
+        reportBlocked(found->second, false, effects);
+    }
+    for (auto& effect : this->scheduleIfNeeded(found->second, now))
+        effects.push_back(std::move(effect));
+    return effects;
 }
 
 std::vector<PromotionEffect> PromotionCoordinator::handleTimer(const PromotionTimerFired& event, Instant now)
@@ -515,7 +523,7 @@
 {
     SuccessionQuestion question;
     for (const auto& [id, member] : group.members)
-        question.members.emplace(id, SuccessionMember { member.isEvacuated, member.startedAt });
+        question.members.emplace(id, SuccessionMember { member.isEvacuated, member.startedAt, member.address });
     question.oldPrimary = group.oldPrimary;
     question.statuses = statuses;
     question.barrier = group.barrier;
@@ -554,7 +562,12 @@
     if (group.phase == Phase::PausingReplicas && !isPauseConfirmed)
         return this->handleUnconfirmedPause(group, now);
     if (isPostponed) {
-        return this->retryLater(group, now, answer.reason);
+        Effects effects;
+        reportBlocked(group, answer.awaitsReplica, effects);
+        const Duration delay = answer.awaitsReplica ? this->settings.blockedRetryInterval : this->settings.retryDelay;
+        for (auto& effect : this->retryAt(group, now + delay + this->rankDelay(group.name), answer.reason))
+            effects.push_back(std::move(effect));
+        return effects;
     }
     // A primary that does not answer may be busy, and would go on.
     const bool mayGoOn
@@ -564,7 +577,7 @@
         return { StepDownPrimary { group.name, group.attempt, group.oldPrimary, group.succession.nextTerm(question) } };
     }
     if (answer.action == SuccessionAnswer::Action::Promote)
-        return this->sendOrder(group, answer.endpoint, now);
+        return this->orderPromotion(group, answer.endpoint, now);
     return pauseReplicas(group, question);
 }
 
@@ -642,6 +655,13 @@
     return effects;
 }
 
+std::vector<PromotionEffect> PromotionCoordinator::orderPromotion(Group& group, const EndpointId& endpoint, Instant now)
+{
+    Effects effects = this->sendOrder(group, endpoint, now);
+    reportBlocked(group, false, effects);
+    return effects;
+}
+
 std::vector<PromotionEffect> PromotionCoordinator::sendOrder(Group& group, const EndpointId& endpoint, Instant now)
 {
     if (now >= group.leaseExpiry)
@@ -666,6 +686,12 @@
     ++group.attempt;
 }
 
+void PromotionCoordinator::reportBlocked(Group& group, bool blocked, Effects& effects)
+{
+    if (std::exchange(group.isBlocked, blocked) != blocked)
+        effects.emplace_back(ReportBlockedPromotion { group.name, blocked });
+}
+
 std::vector<PromotionEffect> PromotionCoordinator::handleOrderAnswer(const PromotionOrderAnswered& event, Instant now)
 {
     Group* group = this->findInPhase(event.group, event.attempt, Phase::Ordering);
@@ -707,6 +733,15 @@
     return this->waitForOtherVm(found->second, now);
 }
 
+std::vector<PromotionEffect> PromotionCoordinator::handlePausedReplicas(const PausedReplicasFound& event, Instant now)
+{
+    const auto found = this->groups.find(event.group);
+    if (found == this->groups.end())
+        return {};
+    found->second.replicasPaused = true;
+    return this->scheduleIfNeeded(found->second, now);
+}
+
 std::vector<PromotionEffect> PromotionCoordinator::waitForOtherVm(Group& group, Instant now)
 {
     if (group.phase != Phase::Idle && group.phase != Phase::WaitingForRank)
--- a/src/Promotion/PromotionCoordinator.h
+++ b/src/Promotion/PromotionCoordinator.h
@@ -41,6 +41,8 @@
     Duration outdatedReplicaTimeout = std::chrono::seconds(10);
     /// Delay before a new attempt after a failed step or a reachability poll without a majority.
     Duration retryDelay = std::chrono::milliseconds(300);
+    /// Interval of attempts while the promotion waits for a replica that may hold acknowledged commits.
+    Duration blockedRetryInterval = std::chrono::seconds(1);
     /// Interval at which replicas are queried while they catch up with a primary that has stepped down.
     Duration catchUpInterval = std::chrono::milliseconds(15);
     /// Maximum time to wait for a replica to catch up. Healthy replicas lag by less than 150 ms.
@@ -122,6 +124,7 @@
         uint32_t synchronousReplicas = 0;
         bool replicasPaused = false; ///< replicas may receive nothing, because of an attempt of this or another VM
         bool pauseUnconfirmed = false; ///< the endpoints do not confirm that they pause; the primary is revoked instead
+        bool isBlocked = false; ///< the promotion waits for a replica that may hold acknowledged commits
         Instant ordersSettledAt {}; ///< by then, an order that was received has taken effect
         bool primaryUnreachable = false; ///< this VM cannot reach the primary
         Phase phase = Phase::Idle;
@@ -174,6 +177,7 @@
     Effects handleStepDownAnswer(const StepDownAnswered&, Instant now);
     Effects handleOrderAnswer(const PromotionOrderAnswered&, Instant now);
     Effects handleNotice(const PromotionNoticeReceived&, Instant now);
+    Effects handlePausedReplicas(const PausedReplicasFound&, Instant now);
 
     bool needsPromotion(const Group&) const;
     bool isUnfenced() const { return this->settings.primaryLease > Duration {}; }
@@ -193,8 +197,10 @@
     static Effects resumeReplicas(Group&);
     Effects handleUnconfirmedPause(Group&, Instant now);
     Effects restorePrimary(Group&, const std::map<EndpointId, EndpointStatus>&, Instant now);
+    Effects orderPromotion(Group&, const EndpointId&, Instant now);
     Effects sendOrder(Group&, const EndpointId&, Instant now);
     static void finishAttempt(Group&);
+    static void reportBlocked(Group&, bool blocked, Effects&);
     Effects retryLater(Group&, Instant now, const std::string& reason);
     Effects retryAt(Group&, Instant when, const std::string& reason);
     Effects setTimer(const Group&, Instant when) const;
--- a/src/Promotion/PromotionMessages.h
+++ b/src/Promotion/PromotionMessages.h
@@ -118,16 +118,21 @@
     GroupId group;
 };
 
+/// Replicas of the group receive no commits, and this VM does not know of an attempt that has paused them.
+struct PausedReplicasFound {
+    GroupId group;
+};
+
 /// The timer of SetPromotionTimer has expired.
 struct PromotionTimerFired {
     GroupId group;
     uint64_t attempt = 0;
 };
 
-using PromotionEvent
-    = std::variant<RegistryUpdated, VmsChanged, EndpointReachabilityChanged, ReachabilityPolled, LeaseReadAnswered,
-        LeaseWriteAnswered, EndpointStatusesReceived, StepDownAnswered, PromotionOrderAnswered, PromotionNoticeReceived,
-        PromotionTimerFired, FleetReadAnswered, PrimaryRevocationFinished, PrimaryRevocationLearnt, TableRestored>;
+using PromotionEvent = std::variant<RegistryUpdated, VmsChanged, EndpointReachabilityChanged, ReachabilityPolled,
+    LeaseReadAnswered, LeaseWriteAnswered, EndpointStatusesReceived, StepDownAnswered, PromotionOrderAnswered,
+    PromotionNoticeReceived, PromotionTimerFired, FleetReadAnswered, PrimaryRevocationFinished, PrimaryRevocationLearnt,
+    TableRestored, PausedReplicasFound>;
 
 // Effects.
 
@@ -197,6 +202,12 @@
     uint64_t token = 0; ///< fencing token
 };
 
+/// The group has no primary until replicas answer that may hold acknowledged commits, or has one again.
+struct ReportBlockedPromotion {
+    GroupId group;
+    bool blocked = false;
+};
+
 /// Tells the traffic thread and other VMs when to expect the new primary.
 struct AnnouncePromotion {
     GroupId group;
@@ -218,8 +229,9 @@
     std::string detail;
 };
 
-using PromotionEffect = std::variant<PollReachability, ReadLease, WriteLease, QueryEndpointStatuses, StepDownPrimary,
-    OrderPromotion, AnnouncePromotion, SetPromotionTimer, LogPromotionStep, ReadFleet, RevokePrimary>;
+using PromotionEffect
+    = std::variant<PollReachability, ReadLease, WriteLease, QueryEndpointStatuses, StepDownPrimary, OrderPromotion,
+        AnnouncePromotion, SetPromotionTimer, LogPromotionStep, ReadFleet, RevokePrimary, ReportBlockedPromotion>;
 
 /// Client for the platform's promotion orders.
 class PromotionOrders {
--- /dev/null
+++ b/src/Promotion/ReplicaRecorder.h
@@ -0,0 +1,128 @@
+#pragma once
+
+#include "Core/Instant.h"
+#include "Promotion/GroupRecord.h"
+#include "Promotion/PromotionMessages.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace Lavendervane {
+
+struct ReplicaRecorderSettings {
+    /// Number of VMs that keep the record of a group. Those after the first one act later.
+    size_t recorders = 3;
+    Duration delayPerRank = std::chrono::seconds(2);
+    /// Interval at which replicas are queried while one that has left may hold commits that the others lack.
+    Duration confirmInterval = std::chrono::milliseconds(200);
+    /// Interval at which replicas are checked for a pause that nobody ends.
+    Duration pauseCheckInterval = std::chrono::seconds(5);
+    /// Delay before a failed call to the table is repeated.
+    Duration retryDelay = std::chrono::milliseconds(500);
+};
+
+/// Result of ReadGroupRecord or WriteGroupRecord.
+struct GroupRecordAnswered {
+    GroupId group;
+    TableReply reply;
+};
+
+/// Result of the QueryEndpointStatuses of a recorder.
+struct ReplicaStatusesReceived {
+    EndpointStatusesReceived answered;
+};
+
+/// The timer of SetRecorderTimer has expired.
+struct RecorderTimerFired { };
+
+using RecorderEvent = std::variant<RegistryUpdated, VmsChanged, GroupRecordAnswered, ReplicaStatusesReceived,
+    RecorderTimerFired, TableRestored>;
+
+/// Reads the row of a group.
+struct ReadGroupRecord {
+    GroupId group;
+    std::string key;
+};
+
+/// Replaces the row of a group.
+struct WriteGroupRecord {
+    GroupId group;
+    TableTransaction transaction;
+};
+
+/// Schedules RecorderTimerFired and cancels an earlier timer.
+struct SetRecorderTimer {
+    Instant when;
+};
+
+using RecorderEffect = std::variant<ReadGroupRecord, WriteGroupRecord, QueryEndpointStatuses, SetRecorderTimer,
+    PausedReplicasFound, LogPromotionStep>;
+
+/// Keeps the record of the endpoints that may hold acknowledged commits, for each group with synchronous replication.
+/// An endpoint that is not registered any more stays in the record until enough of the others have received all that
+/// the primary had when it was gone, or until another endpoint of the group has taken over its log at its address. A
+/// few VMs keep the record of each group. They also look for replicas that stay paused because the VM that paused them
+/// has ended. The class is a pure state machine: it reads no clock and does no I/O.
+class ReplicaRecorder {
+public:
+    ReplicaRecorder(VmId self, ReplicaRecorderSettings);
+
+    /// Processes an event and returns the effects that the caller must carry out.
+    std::vector<RecorderEffect> handle(const RecorderEvent&, Instant now);
+
+private:
+    using Effects = std::vector<RecorderEffect>;
+
+    struct Member {
+        std::string address;
+        bool isPrimary = false;
+    };
+
+    struct Group {
+        GroupId name;
+        std::map<EndpointId, Member> members;
+        std::optional<size_t> rank; ///< of this VM among the recorders; nothing if it is none
+        uint32_t synchronousReplicas = 0;
+        std::optional<GroupRecord> record; ///< the row as it was last seen
+        uint64_t revision = 0;
+        uint64_t generation = 0;
+        std::optional<GroupRecord> written; ///< record in the write that is in progress
+        bool callInProgress = false;
+        uint64_t query = 0; ///< answers to queries with other numbers are ignored
+        bool queryInProgress = false;
+        Instant nextCall {}; ///< the table is not called before
+        Instant nextQuery {};
+        Instant nextPauseCheck {};
+        /// Position of the primary after an endpoint was gone, an upper bound of that endpoint's log.
+        std::map<EndpointId, LogPosition> bounds;
+        std::set<EndpointId> covered; ///< endpoints that are gone and hold nothing that the others lack
+        std::map<EndpointId, std::string> lostMembers; ///< recorded before the table was restored from an older copy
+
+        EndpointId primary() const;
+    };
+
+    void handleRegistryUpdate(const RegistryUpdated&, Instant now);
+    void updateMembers(Group&, std::map<EndpointId, Member>, Instant now) const;
+    void handleVms(const VmsChanged&);
+    void handleRecord(const GroupRecordAnswered&, Instant now);
+    Effects handleStatuses(const EndpointStatusesReceived&);
+    void handleTableRestore();
+    Effects advance(Group&, Instant now) const;
+    static GroupRecord makeRecord(const Group&);
+    static std::map<EndpointId, std::string> absentees(const Group&);
+    Duration startDelay(const Group&) const;
+    std::optional<size_t> rankOf(const GroupId&) const;
+    std::optional<Instant> nextEvent() const;
+
+    VmId self;
+    ReplicaRecorderSettings settings;
+    std::vector<VmId> vms;
+    std::map<GroupId, Group> groups; ///< only groups with synchronous replication
+};
+
+} // namespace Lavendervane
--- a/src/Promotion/Succession.cpp
+++ b/src/Promotion/Succession.cpp
@@ -33,13 +33,34 @@
     return newest + 1;
 }
 
-// Endpoints other than the old primary on which an acknowledged commit may be stored.
-std::set<EndpointId> Succession::possibleHolders(const SuccessionQuestion& question)
+EndpointId Succession::oldPrimary(const SuccessionQuestion& question) const
 {
+    return question.oldPrimary.empty() ? this->record.primary : question.oldPrimary;
+}
+
+// Endpoints other than the old primary on which an acknowledged commit may be stored. One that is not registered any
+// more may come back with its log, possibly under another ID at its address.
+std::set<EndpointId> Succession::possibleHolders(const SuccessionQuestion& question) const
+{
+    const EndpointId primary = this->oldPrimary(question);
+    const auto recordedPrimary = this->record.members.find(primary);
+    const auto registeredPrimary = question.members.find(primary);
+    std::string primaryAddress;
+    if (registeredPrimary != question.members.end())
+        primaryAddress = registeredPrimary->second.address;
+    else if (recordedPrimary != this->record.members.end())
+        primaryAddress = recordedPrimary->second;
     std::set<EndpointId> holders;
-    for (const auto& [id, member] : question.members)
-        holders.insert(id);
-    holders.erase(question.oldPrimary);
+    std::set<std::string> addresses { primaryAddress };
+    for (const auto& [id, member] : question.members) {
+        if (id != primary && (member.address.empty() || member.address != primaryAddress))
+            holders.insert(id);
+        addresses.insert(member.address);
+    }
+    for (const auto& [id, address] : this->record.members) {
+        if (id != primary && !question.members.count(id) && (address.empty() || !addresses.count(address)))
+            holders.insert(id);
+    }
     return holders;
 }
 
@@ -83,7 +104,7 @@
     size_t missing = 0;
     size_t notPaused = 0;
     std::string names;
-    for (const EndpointId& holder : possibleHolders(question)) {
+    for (const EndpointId& holder : this->possibleHolders(question)) {
         const auto status = question.statuses.find(holder);
         if (status == question.statuses.end()) {
             ++missing;
--- a/src/Promotion/Succession.h
+++ b/src/Promotion/Succession.h
@@ -22,6 +22,7 @@
 struct SuccessionMember {
     bool isEvacuated = false; ///< its answer counts, but it is not promoted
     uint64_t startedAt = 0; ///< Unix time in ms
+    std::string address; ///< "IP:port"
 };
 
 /// State of an attempt to replace a primary.
@@ -54,6 +55,8 @@
 /// - An acknowledged commit is stored on the primary and on at least `synchronousReplicas` others. The most advanced
 ///   endpoint that answered holds it if fewer than that many of the endpoints that may hold commits are missing.
 /// - This stays true only behind a barrier, because the old primary may be back before its successor leads.
+///
+/// What it must know for longer than a VM lives is in the GroupRecord.
 class Succession {
 public:
     void setSynchronousReplicas(uint32_t number) { this->synchronousReplicas = number; }
@@ -75,7 +78,8 @@
 
 private:
     uint64_t newestTerm(const SuccessionQuestion&) const;
-    static std::set<EndpointId> possibleHolders(const SuccessionQuestion&);
+    EndpointId oldPrimary(const SuccessionQuestion&) const;
+    std::set<EndpointId> possibleHolders(const SuccessionQuestion&) const;
     SuccessionAnswer requireAcknowledgedCommits(const SuccessionQuestion&, const EndpointId& best) const;
 
     uint32_t synchronousReplicas = 0;
--- a/tests/Promotion/PromotionCoordinatorTest.cpp
+++ b/tests/Promotion/PromotionCoordinatorTest.cpp
@@ -246,6 +246,22 @@
     BOOST_TEST((this->find<QueryEndpointStatuses>()->endpoints == std::vector<EndpointId> { b, c }));
 }
 
+// Guards against replicas that stay paused because the VM that paused them has ended.
+BOOST_AUTO_TEST_CASE(PausedReplicas_OfAnotherVm_PrimaryIsRestored)
+{
+    this->synchronousReplicas = 1;
+    this->registry(EndpointRole::Primary, EndpointRole::Replica);
+    this->handle(PausedReplicasFound { stock });
+    this->fireTimer();
+    BOOST_REQUIRE(this->find<ReadLease>());
+    const uint64_t attempt = this->find<ReadLease>()->attempt;
+    // The lease of the other VM has expired, but an order that it sent may still take effect.
+    this->handle(
+        LeaseReadAnswered { stock, attempt, this->reply(TableStatus::Done, 7, R"({"run":"other","until":9000})") });
+    BOOST_TEST(!this->find<WriteLease>());
+    BOOST_TEST((this->timer.when == this->now + 2s));
+}
+
 // Guards against a resumption while an order is under way: a crashed primary is back under another ID.
 BOOST_AUTO_TEST_CASE(Primary_BackUnderOtherIdAfterPause_ReplicasStayPaused)
 {
@@ -269,6 +285,20 @@
     BOOST_TEST(this->find<SetPromotionTimer>());
 }
 
+// Guards against a promotion without the replica that holds an acknowledged commit, because its entry has lapsed.
+BOOST_AUTO_TEST_CASE(Primary_RecordedReplicaIsNotRegistered_IsNotReplacedWithoutIt)
+{
+    this->synchronousReplicas = 1;
+    this->registry(EndpointRole::Primary, EndpointRole::Replica);
+    this->leaseRow
+        = R"({"members":{"a":"10.0.0.1:1","b":"10.0.0.2:1","c":"10.0.0.3:1","d":"10.0.0.4:1"},"primary":"a"})";
+    const uint64_t attempt = this->advanceToStatusQuery();
+    this->handle(EndpointStatusesReceived { stock, attempt, { { b, status(50) }, { c, status(50) } } });
+    BOOST_TEST(!this->find<OrderPromotion>());
+    BOOST_REQUIRE(this->find<ReportBlockedPromotion>());
+    BOOST_TEST(this->find<ReportBlockedPromotion>()->blocked);
+}
+
 // Guards against a step-down that is taken for done by an endpoint that goes on as the primary.
 BOOST_AUTO_TEST_CASE(StepDown_NotConfirmed_OrdersNothing)
 {
--- /dev/null
+++ b/tests/Promotion/ReplicaRecorderTest.cpp
@@ -0,0 +1,203 @@
+#include "Promotion/ReplicaRecorder.h"
+#include "Promotion/PromotionCoordinator.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <map>
+#include <string>
+#include <vector>
+
+using namespace Lavendervane;
+using namespace std::chrono_literals;
+
+namespace {
+
+const GroupId stock("stock");
+const EndpointId a("a");
+const EndpointId b("b");
+const EndpointId c("c");
+
+/// A recorder with a table that answers at once.
+struct RecorderFixture {
+    RecorderFixture() { this->handle(VmsChanged { { VmId("vm-1") } }); }
+
+    void handle(const RecorderEvent& event)
+    {
+        this->query.reset();
+        this->foundPause = false;
+        this->process(event);
+    }
+
+    void process(const RecorderEvent& event)
+    {
+        for (const RecorderEffect& effect : this->recorder.handle(event, this->now)) {
+            if (const auto* timer = std::get_if<SetRecorderTimer>(&effect))
+                this->timer = timer->when;
+            if (const auto* sent = std::get_if<QueryEndpointStatuses>(&effect))
+                this->query = *sent;
+            this->foundPause = this->foundPause || std::holds_alternative<PausedReplicasFound>(effect);
+            if (std::holds_alternative<ReadGroupRecord>(effect))
+                this->answer(TableStatus::Done);
+            if (const auto* write = std::get_if<WriteGroupRecord>(&effect)) {
+                ++this->writes;
+                const bool holds = write->transaction.conditions.front().revision == this->row.revision;
+                if (holds)
+                    this->row = { write->transaction.writes.front().key, this->row.revision + 1,
+                        write->transaction.writes.front().value };
+                this->answer(holds ? TableStatus::Done : TableStatus::Conflict);
+            }
+        }
+    }
+
+    void answer(TableStatus status)
+    {
+        TableReply reply;
+        reply.result = { status, { this->row } };
+        reply.revision = this->row.revision;
+        this->process(GroupRecordAnswered { stock, reply });
+    }
+
+    void registry(const std::map<EndpointId, std::string>& addresses, uint32_t synchronousReplicas = 1)
+    {
+        RegistryUpdated update { {}, { { stock, synchronousReplicas } } };
+        for (const auto& [id, address] : addresses) {
+            RegisteredEndpoint endpoint;
+            endpoint.id = id;
+            endpoint.group = stock;
+            endpoint.address = address;
+            endpoint.role = id == a ? EndpointRole::Primary : EndpointRole::Replica;
+            update.endpoints.push_back(endpoint);
+        }
+        this->handle(update);
+    }
+
+    void fireTimer()
+    {
+        this->now = std::max(this->now, this->timer);
+        this->handle(RecorderTimerFired {});
+    }
+
+    static EndpointStatus status(uint64_t position, EndpointRole role = EndpointRole::Replica)
+    {
+        return { role, 1, { { 1, {} }, position }, 0 };
+    }
+
+    void answerQuery(const std::map<EndpointId, EndpointStatus>& statuses)
+    {
+        BOOST_REQUIRE(this->query);
+        this->handle(ReplicaStatusesReceived { { stock, this->query->attempt, statuses } });
+    }
+
+    std::vector<EndpointId> recorded() const
+    {
+        std::vector<EndpointId> ids;
+        for (const auto& [id, address] : GroupRecord::parse(this->row).members)
+            ids.push_back(id);
+        return ids;
+    }
+
+    const std::map<EndpointId, std::string> all { { a, "1" }, { b, "2" }, { c, "3" } };
+    ReplicaRecorder recorder { VmId("vm-1"), {} };
+    Instant now { 100s };
+    Instant timer {};
+    TableRow row { PromotionCoordinator::leaseKey(stock), 0, {} };
+    std::optional<QueryEndpointStatuses> query;
+    bool foundPause = false;
+    size_t writes = 0;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(ReplicaRecorderTest, RecorderFixture)
+
+// Groups without synchronous replication must cost nothing.
+BOOST_AUTO_TEST_CASE(Group_WithoutSynchronousReplicas_CostsNothing)
+{
+    this->registry(this->all, 0);
+    BOOST_TEST(this->writes == 0U);
+    BOOST_TEST(!this->query);
+    BOOST_TEST((this->timer == Instant {}));
+}
+
+// Guards against a replica that is forgotten although only it holds an acknowledged commit, and against one that holds
+// up promotions although the others have received all that it can hold.
+BOOST_AUTO_TEST_CASE(Replica_Gone_IsRecordedUntilOthersHoldAllThatItCanHold)
+{
+    this->registry(this->all);
+    BOOST_TEST((this->recorded() == std::vector<EndpointId> { a, b, c }));
+    this->registry({ { a, "1" }, { c, "3" } });
+    this->answerQuery({ { a, status(60, EndpointRole::Primary) }, { c, status(58) } });
+    this->fireTimer();
+    BOOST_TEST((this->recorded() == std::vector<EndpointId> { a, b, c }));
+    this->answerQuery({ { a, status(70, EndpointRole::Primary) }, { c, status(60) } });
+    BOOST_TEST((this->recorded() == std::vector<EndpointId> { a, c }));
+    BOOST_TEST(GroupRecord::parse(this->row).primary == a);
+    BOOST_TEST(this->writes == 2U);
+}
+
+// Guards against a bound from before the replica was gone: it may have received more.
+BOOST_AUTO_TEST_CASE(Replica_GoneWhileQueryIsUnderWay_AnswerDoesNotCount)
+{
+    this->registry(this->all);
+    this->now = this->timer;
+    this->fireTimer();
+    BOOST_REQUIRE(this->query);
+    const uint64_t before = this->query->attempt;
+    this->registry({ { a, "1" }, { c, "3" } });
+    this->handle(
+        ReplicaStatusesReceived { { stock, before, { { a, status(60, EndpointRole::Primary) }, { c, status(60) } } } });
+    BOOST_TEST((this->recorded() == std::vector<EndpointId> { a, b, c }));
+}
+
+// Guards against a replica that is forgotten because the primary went with it, also by VMs that start afterwards.
+BOOST_AUTO_TEST_CASE(Replica_GoneWithPrimary_StaysRecordedAfterRestart)
+{
+    this->registry(this->all);
+    this->recorder = { VmId("vm-1"), {} };
+    this->handle(VmsChanged { { VmId("vm-1") } });
+    this->registry({ { c, "3" } });
+    this->fireTimer();
+    BOOST_TEST((this->recorded() == std::vector<EndpointId> { a, b, c }));
+}
+
+// An endpoint that takes over at the address of another one continues its log.
+BOOST_AUTO_TEST_CASE(Replica_AddressTakenOver_IsReplacedInRecord)
+{
+    this->registry(this->all);
+    this->registry({ { a, "1" }, { EndpointId("d"), "2" }, { c, "3" } });
+    BOOST_TEST((this->recorded() == std::vector<EndpointId> { a, c, EndpointId("d") }));
+}
+
+// Guards against a record that a restore of the table has reset to a time before a replica joined.
+BOOST_AUTO_TEST_CASE(Table_Restored_RecordIsCompletedAgain)
+{
+    this->registry(this->all);
+    this->registry({ { a, "1" }, { c, "3" } });
+    this->row.value = R"({"members":{"a":"1","c":"3"},"primary":"a"})";
+    this->handle(TableRestored {});
+    BOOST_TEST((this->recorded() == std::vector<EndpointId> { a, b, c }));
+}
+
+// Guards against a promotion lease that is overwritten.
+BOOST_AUTO_TEST_CASE(Row_HoldsLease_IsKept)
+{
+    this->row = { this->row.key, 7, R"({"run":"other","until":9000})" };
+    this->registry(this->all);
+    const GroupRecord record = GroupRecord::parse(this->row);
+    BOOST_TEST(record.run == "other");
+    BOOST_TEST(record.until == 9000U);
+    BOOST_TEST(record.members.size() == 3U);
+}
+
+// Guards against replicas that receive nothing because the VM that paused them has ended.
+BOOST_AUTO_TEST_CASE(Replica_StaysPaused_IsReported)
+{
+    this->registry(this->all);
+    this->fireTimer();
+    EndpointStatus held = status(50);
+    held.heldTerm = 2;
+    this->answerQuery({ { a, status(60, EndpointRole::Primary) }, { b, held }, { c, status(60) } });
+    BOOST_TEST(this->foundPause);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
