Keep the newest term of a group on the platform's store

Callers read a log that lacked commits which had been acknowledged: a database that had missed a term was promoted after all processes of the system had restarted.

Cause: the newest term of a group was known to the memory of the VMs only, and until a new primary's first commit not even to that.

Change: a VM that orders a promotion records its term, endpoint and run in the group's row, beside the order. Succession takes the newest of the recorded term, the terms of the endpoints that answered and what VMs have seen. A recorded order that was not carried out does not count.

With the recorded term ignored, which is how the code was, or without the check whether the order was carried out, one case of test-Promotion fails each.

--- a/src/Fleet/FleetControl.cpp
+++ b/src/Fleet/FleetControl.cpp
@@ -12,6 +12,9 @@
 // Delay before the stored revocations are read again after a failure.
 static constexpr Duration storedRevocationsRetryDelay = std::chrono::milliseconds(300);
 
+// Delay before a promotion is recorded again after a failure.
+static constexpr Duration leadershipRetryDelay = std::chrono::milliseconds(300);
+
 // Upper bound of the random delay before revocations are recorded again that a restored table has lost.
 static constexpr Duration revocationRecordJitter = std::chrono::milliseconds(1500);
 
@@ -89,6 +92,8 @@
     this->log.write("store_restored", { { "generation", std::to_string(generation) } });
     this->handlePromotionEvent(TableRestored {});
     this->handleRecorderEvent(TableRestored {});
+    for (const auto& [group, leadership] : this->leaderships)
+        this->readRowForLeadership(group, leadership);
     this->handleMembershipEvent(TableRestored {});
     if (this->shareLeaseManager)
         this->executeShareEffects(this->shareLeaseManager->handle(TableRestored {}, this->timers.now()));
@@ -597,6 +602,9 @@
                 this->metrics.promotionOrdered(toString(status));
                 answer(PromotionOrderAnswered { group, attempt, status });
             });
+    } else if (const auto* record = std::get_if<RecordLeadership>(&effect)) {
+        this->leaderships[record->group] = record->leadership;
+        this->recordLeadership(record->group, record->leadership, record->row, record->generation);
     } else if (const auto* report = std::get_if<ReportBlockedPromotion>(&effect)) {
         if (report->blocked)
             this->blockedGroups.insert(report->group);
@@ -616,6 +624,49 @@
     }
 }
 
+// The row may have been written meanwhile by a VM that renews the lease or records replicas.
+void FleetControl::recordLeadership(
+    const GroupId& group, const LeadershipRecord& leadership, const TableRow& current, uint64_t generation)
+{
+    GroupRecord record = GroupRecord::parse(current);
+    if (record.leadership == leadership || record.leadership.term > leadership.term
+        || this->leaderships[group] != leadership)
+        return;
+    record.leadership = leadership;
+    record.generation = generation;
+    this->table.transact(record.replaceRow(current.key, current.revision, generation),
+        [this, guard = std::weak_ptr<int>(this->lifetime), group, leadership](const TableReply& reply) {
+            if (guard.expired() || reply.result.status == TableStatus::Done)
+                return;
+            if (reply.result.status == TableStatus::Conflict && !reply.result.rows.empty()) {
+                this->recordLeadership(group, leadership, reply.result.rows.front(), reply.generation);
+                return;
+            }
+            this->log.write("promotion_not_recorded", { { "group", group.str() }, { "reason", reply.reason } });
+            this->timers.schedule(this->timers.now() + leadershipRetryDelay, [this, guard, group, leadership] {
+                if (!guard.expired())
+                    this->readRowForLeadership(group, leadership);
+            });
+        });
+}
+
+void FleetControl::readRowForLeadership(const GroupId& group, const LeadershipRecord& leadership)
+{
+    this->table.readRow(PromotionCoordinator::leaseKey(group),
+        [this, guard = std::weak_ptr<int>(this->lifetime), group, leadership](const TableReply& reply) {
+            if (guard.expired())
+                return;
+            if (reply.result.status == TableStatus::Done && !reply.result.rows.empty()) {
+                this->recordLeadership(group, leadership, reply.result.rows.front(), reply.generation);
+                return;
+            }
+            this->timers.schedule(this->timers.now() + leadershipRetryDelay, [this, guard, group, leadership] {
+                if (!guard.expired())
+                    this->readRowForLeadership(group, leadership);
+            });
+        });
+}
+
 void FleetControl::handleRecorderEvent(const RecorderEvent& event)
 {
     for (const RecorderEffect& effect : this->replicaRecorder.handle(event, this->timers.now()))
--- a/src/Fleet/FleetControl.h
+++ b/src/Fleet/FleetControl.h
@@ -148,6 +148,8 @@
     void scheduleRevocationRecords(Duration delay);
     void executeShareEffects(std::vector<ShareEffect>);
     void executePromotionEffect(PromotionEffect&);
+    void recordLeadership(const GroupId&, const LeadershipRecord&, const TableRow& current, uint64_t generation);
+    void readRowForLeadership(const GroupId&, const LeadershipRecord&);
     void handleRecorderEvent(const RecorderEvent&);
     void executeRecorderEffect(const RecorderEffect&);
     void handleFeedMonitorEvent(const FeedMonitorEvent&);
@@ -170,6 +172,7 @@
     std::optional<Timers::Handle> membershipTimer;
     std::optional<Timers::Handle> memberListTimer; ///< ends the wait for further changes of the list
     PromotionCoordinator promotionCoordinator;
+    std::map<GroupId, LeadershipRecord> leaderships; ///< newest promotion of each group that this VM has ordered
     std::set<GroupId> blockedGroups; ///< groups whose promotion waits for a replica
     ReplicaRecorder replicaRecorder;
     std::optional<Timers::Handle> recorderTimer;
--- a/src/Promotion/GroupRecord.cpp
+++ b/src/Promotion/GroupRecord.cpp
@@ -33,6 +33,8 @@
     if (const auto revoked = textField(json, "revoked"))
         record.revoked = EndpointId(*revoked);
     record.revokedAddress = textField(json, "revoked_address").value_or("");
+    record.leadership = { unsignedField(json, "term"), EndpointId(textField(json, "promoted").value_or("")),
+        unsignedField(json, "promoted_start") };
     const auto members = json.find("members");
     if (members != json.end() && members->is_object()) {
         for (const auto& [id, address] : members->items()) {
@@ -52,6 +54,11 @@
         json["revoked"] = this->revoked->str();
         json["revoked_address"] = this->revokedAddress;
     }
+    if (this->leadership.term) {
+        json["term"] = this->leadership.term;
+        json["promoted"] = this->leadership.endpoint.str();
+        json["promoted_start"] = this->leadership.startedAt;
+    }
     if (!this->members.empty()) {
         json["members"] = Json::object();
         for (const auto& [id, address] : this->members)
--- a/src/Promotion/GroupRecord.h
+++ b/src/Promotion/GroupRecord.h
@@ -10,6 +10,15 @@
 
 namespace Lavendervane {
 
+/// The newest promotion that was ordered in a group.
+struct LeadershipRecord {
+    uint64_t term = 0; ///< term that the endpoint leads if the order is carried out; 0 if none is known
+    EndpointId endpoint;
+    uint64_t startedAt = 0; ///< of the endpoint's run, Unix time in ms
+
+    friend bool operator==(const LeadershipRecord&, const LeadershipRecord&) = default;
+};
+
 /// What the platform's table holds about a group: the promotion lease, and what must outlast all VMs.
 struct GroupRecord {
     // Promotion lease
@@ -21,6 +30,8 @@
     std::optional<EndpointId> revoked; ///< revoked primary; empty ID if none is; nothing if none ever was
     std::string revokedAddress;
 
+    LeadershipRecord leadership;
+
     /// Addresses ("IP:port") of the endpoints that may hold commits which were acknowledged, including those that are
     /// not registered any more. Kept for groups with synchronous replication only.
     std::map<EndpointId, std::string> members;
--- a/src/Promotion/PromotionCoordinator.cpp
+++ b/src/Promotion/PromotionCoordinator.cpp
@@ -404,6 +404,7 @@
         record.revoked = revocation.endpoint;
         record.revokedAddress = revocation.address;
     }
+    group->lease = record;
     return { WriteLease {
         group->name, group->attempt, record.replaceRow(leaseKey(group->name), row.revision, group->leaseGeneration) } };
 }
@@ -417,6 +418,7 @@
         return this->retryLater(*group, now, "writing the promotion lease failed: " + event.reply.reason);
     // Every write of the lease increases its revision within a generation, so a later holder always has a higher token.
     group->token = fencingToken(group->leaseGeneration, event.reply.revision);
+    group->leaseRevision = event.reply.revision;
     if (group->liftsRevocation || this->requiresRevocation(*group)) {
         group->phase = Phase::ReadingFleet;
         return { ReadFleet { group->name, group->attempt } };
@@ -577,7 +579,7 @@
         return { StepDownPrimary { group.name, group.attempt, group.oldPrimary, group.succession.nextTerm(question) } };
     }
     if (answer.action == SuccessionAnswer::Action::Promote)
-        return this->orderPromotion(group, answer.endpoint, now);
+        return this->orderPromotion(group, answer.endpoint, question, now);
     return pauseReplicas(group, question);
 }
 
@@ -655,10 +657,19 @@
     return effects;
 }
 
-std::vector<PromotionEffect> PromotionCoordinator::orderPromotion(Group& group, const EndpointId& endpoint, Instant now)
+std::vector<PromotionEffect> PromotionCoordinator::orderPromotion(
+    Group& group, const EndpointId& endpoint, const SuccessionQuestion& question, Instant now)
 {
+    const LeadershipRecord leadership { group.succession.nextTerm(question), endpoint,
+        question.members.count(endpoint) ? question.members.at(endpoint).startedAt : 0 };
     Effects effects = this->sendOrder(group, endpoint, now);
     reportBlocked(group, false, effects);
+    if (group.phase != Phase::Ordering)
+        return effects;
+    // VMs that start later must not promote an endpoint that has missed this term.
+    group.succession.learnLeadership(leadership);
+    effects.emplace_back(RecordLeadership { group.name, leadership,
+        { leaseKey(group.name), group.leaseRevision, group.lease.encode() }, group.leaseGeneration });
     return effects;
 }
 
--- a/src/Promotion/PromotionCoordinator.h
+++ b/src/Promotion/PromotionCoordinator.h
@@ -136,6 +136,8 @@
         uint64_t pauseTerm = 0; ///< of the pause in this attempt
         bool oldPrimaryIsLeaving = false; ///< true if the old primary is draining or evacuated but still reachable
         uint64_t leaseGeneration = 0; ///< generation of the table in which the lease was read
+        GroupRecord lease; ///< the group's row as this VM has written it
+        uint64_t leaseRevision = 0; ///< revision of that row
         uint64_t token = 0; ///< fencing token of the promotion order
         std::optional<LogPosition> finalPosition; ///< end of the old primary's log after it stepped down
         Instant catchUpDeadline {};
@@ -197,7 +199,7 @@
     static Effects resumeReplicas(Group&);
     Effects handleUnconfirmedPause(Group&, Instant now);
     Effects restorePrimary(Group&, const std::map<EndpointId, EndpointStatus>&, Instant now);
-    Effects orderPromotion(Group&, const EndpointId&, Instant now);
+    Effects orderPromotion(Group&, const EndpointId&, const SuccessionQuestion&, Instant now);
     Effects sendOrder(Group&, const EndpointId&, Instant now);
     static void finishAttempt(Group&);
     static void reportBlocked(Group&, bool blocked, Effects&);
--- a/src/Promotion/PromotionMessages.h
+++ b/src/Promotion/PromotionMessages.h
@@ -202,6 +202,14 @@
     uint64_t token = 0; ///< fencing token
 };
 
+/// Records an ordered promotion in the platform's table. Nothing waits for it.
+struct RecordLeadership {
+    GroupId group;
+    LeadershipRecord leadership;
+    TableRow row; ///< the group's row as this VM has written it
+    uint64_t generation = 0; ///< generation of the table in which it was written
+};
+
 /// The group has no primary until replicas answer that may hold acknowledged commits, or has one again.
 struct ReportBlockedPromotion {
     GroupId group;
@@ -229,9 +237,9 @@
     std::string detail;
 };
 
-using PromotionEffect
-    = std::variant<PollReachability, ReadLease, WriteLease, QueryEndpointStatuses, StepDownPrimary, OrderPromotion,
-        AnnouncePromotion, SetPromotionTimer, LogPromotionStep, ReadFleet, RevokePrimary, ReportBlockedPromotion>;
+using PromotionEffect = std::variant<PollReachability, ReadLease, WriteLease, QueryEndpointStatuses, StepDownPrimary,
+    OrderPromotion, AnnouncePromotion, SetPromotionTimer, LogPromotionStep, ReadFleet, RevokePrimary, RecordLeadership,
+    ReportBlockedPromotion>;
 
 /// Client for the platform's promotion orders.
 class PromotionOrders {
--- a/src/Promotion/Succession.cpp
+++ b/src/Promotion/Succession.cpp
@@ -15,11 +15,24 @@
 
 void Succession::learnTerm(uint64_t term) { this->seenTerm = std::max(this->seenTerm, term); }
 
+// An order that was recorded may not have been carried out. It was not if its endpoint, in the same run, does not know
+// the term.
+bool Succession::isLeadershipRefuted(const SuccessionQuestion& question) const
+{
+    const LeadershipRecord& leadership = this->record.leadership;
+    const auto member = question.members.find(leadership.endpoint);
+    const auto status = question.statuses.find(leadership.endpoint);
+    return member != question.members.end() && member->second.startedAt == leadership.startedAt
+        && status != question.statuses.end() && status->second.term < leadership.term;
+}
+
 uint64_t Succession::newestTerm(const SuccessionQuestion& question) const
 {
     uint64_t newest = this->seenTerm;
     for (const auto& [id, status] : question.statuses)
         newest = std::max(newest, status.term);
+    if (this->record.leadership.term > newest && !this->isLeadershipRefuted(question))
+        newest = this->record.leadership.term;
     return newest;
 }
 
--- a/src/Promotion/Succession.h
+++ b/src/Promotion/Succession.h
@@ -66,6 +66,9 @@
 
     void learnRecord(const GroupRecord& stored) { this->record = stored; }
 
+    /// The promotion has been ordered.
+    void learnLeadership(const LeadershipRecord& ordered) { this->record.leadership = ordered; }
+
     const GroupRecord& knownRecord() const { return this->record; }
 
     SuccessionAnswer decide(const SuccessionQuestion&) const;
@@ -78,6 +81,7 @@
 
 private:
     uint64_t newestTerm(const SuccessionQuestion&) const;
+    bool isLeadershipRefuted(const SuccessionQuestion&) const;
     EndpointId oldPrimary(const SuccessionQuestion&) const;
     std::set<EndpointId> possibleHolders(const SuccessionQuestion&) const;
     SuccessionAnswer requireAcknowledgedCommits(const SuccessionQuestion&, const EndpointId& best) const;
--- a/tests/Promotion/PromotionCoordinatorTest.cpp
+++ b/tests/Promotion/PromotionCoordinatorTest.cpp
@@ -299,6 +299,29 @@
     BOOST_TEST(this->find<ReportBlockedPromotion>()->blocked);
 }
 
+// Guards against an endpoint of an earlier term that leads again after all VMs have restarted.
+BOOST_AUTO_TEST_CASE(Replica_MissedRecordedTerm_IsNotPromotedWhileAnotherMayAnswer)
+{
+    this->handle(EndpointStatusesReceived { stock, this->advanceToStatusQuery(), { { b, status(50) } } });
+    BOOST_REQUIRE(this->find<RecordLeadership>());
+    BOOST_TEST((this->find<RecordLeadership>()->leadership == LeadershipRecord { 2, b, 0 }));
+    CoordinatorFixture restarted;
+    restarted.leaseRow = R"({"term":2,"promoted":"b"})";
+    const uint64_t attempt = restarted.advanceToStatusQuery();
+    restarted.handle(EndpointStatusesReceived { stock, attempt, { { c, status(90) } } });
+    BOOST_TEST(!restarted.find<OrderPromotion>());
+}
+
+// Guards against a wait for a term that no endpoint leads, because the recorded order was not carried out.
+BOOST_AUTO_TEST_CASE(Replica_RecordedOrderWasNotCarriedOut_IsPromoted)
+{
+    this->leaseRow = R"({"term":2,"promoted":"b"})";
+    const uint64_t attempt = this->advanceToStatusQuery();
+    this->handle(EndpointStatusesReceived { stock, attempt, { { b, status(50) }, { c, status(90) } } });
+    BOOST_REQUIRE(this->find<OrderPromotion>());
+    BOOST_TEST(this->find<OrderPromotion>()->endpoint == c);
+}
+
 // Guards against a step-down that is taken for done by an endpoint that goes on as the primary.
 BOOST_AUTO_TEST_CASE(StepDown_NotConfirmed_OrdersNothing)
 {
--- a/tests/Promotion/ReplicaRecorderTest.cpp
+++ b/tests/Promotion/ReplicaRecorderTest.cpp
@@ -181,11 +181,12 @@
 // Guards against a promotion lease that is overwritten.
 BOOST_AUTO_TEST_CASE(Row_HoldsLease_IsKept)
 {
-    this->row = { this->row.key, 7, R"({"run":"other","until":9000})" };
+    this->row = { this->row.key, 7, R"({"run":"other","until":9000,"term":4,"promoted":"a"})" };
     this->registry(this->all);
     const GroupRecord record = GroupRecord::parse(this->row);
     BOOST_TEST(record.run == "other");
     BOOST_TEST(record.until == 9000U);
+    BOOST_TEST(record.leadership.term == 4U);
     BOOST_TEST(record.members.size() == 3U);
 }
 
