Bound what callers keep in their sessions

A process was killed for its memory: 60 callers that set four values of 1,000,000 bytes each took more than 182 MB.

Cause: values and prepared statements had no bound, each session kept a copy of its last statement, and every definition of a prepared statement that was executed stayed in memory.

Change: a session may keep 4 MiB, all sessions an eighth of the memory in the settings. Sessions that keep most end first. Only the identifier of a statement is kept for the log, and definitions are forgotten beyond a limit.

--- a/src/Fleet/EntryDaemon.cpp
+++ b/src/Fleet/EntryDaemon.cpp
@@ -385,6 +385,7 @@
         service.limitWindow = settings.limitWindow;
         service.limitTolerance = settings.limitTolerance;
         service.limitSlack = settings.limitSlack;
+        service.sessionState = SessionStateLimits::makeFor(settings.memoryBytes);
         if (!settings.endpointsAreFenced)
             service.primaryLease.duration = primaryLeaseDuration;
         return service;
--- a/src/Fleet/EntryDaemon.h
+++ b/src/Fleet/EntryDaemon.h
@@ -55,6 +55,7 @@
     VmId vm;
     DataCentre dataCentre;
     uint32_t processorMillis = 1000; ///< processor share of this VM in 1/1000 of a core
+    uint64_t memoryBytes = 0; ///< memory that the process may use; 0 if it is not known
     std::string runId; ///< identifies this run of the process
     std::string peerAddress; ///< "IP:port" for messages between VMs
     std::string readinessAddress; ///< "IP:port" of the readiness check
--- a/src/Statements/CallerSession.cpp
+++ b/src/Statements/CallerSession.cpp
@@ -61,7 +61,9 @@
         this->checkTransaction();
     this->isStatementPending = true;
     this->currentArrival = this->service.timers().now();
-    this->currentStatement = next;
+    this->currentStatement = {};
+    this->currentStatement.kind = next.kind;
+    this->currentStatement.id = next.id;
     if (this->transaction && this->transaction->idleTimer) {
         this->service.timers().cancel(*this->transaction->idleTimer);
         this->transaction->idleTimer.reset();
@@ -115,12 +117,54 @@
     this->service.log().messageRefused(this->database, reason);
 }
 
+// Memory of an entry besides its texts.
+static constexpr size_t entryOverhead = 128;
+
+static size_t keptSize(const std::string& name, const std::string& text)
+{
+    return entryOverhead + name.size() + text.size();
+}
+
+// Accounts for an entry of the session that takes `after` bytes in place of `before`. Refuses the statement and returns
+// false if the session or the process would keep too much.
+bool CallerSession::reserve(size_t before, size_t after)
+{
+    const size_t kept = this->keptBytes - before + after;
+    AnswerCode refusal = AnswerCode::Done;
+    if (after > before && !this->service.sessionState().allowsSession(kept))
+        refusal = AnswerCode::TooLarge;
+    else if (after > before && !this->service.makeRoom(*this, kept, after - before))
+        refusal = AnswerCode::Busy;
+    if (refusal != AnswerCode::Done) {
+        if (this->transaction)
+            this->transaction->failed = true;
+        this->refuse(refusal, "the session's values and prepared statements take too much memory");
+        return false;
+    }
+    this->service.sessionState().replace(before, after);
+    this->keptBytes = kept;
+    return true;
+}
+
+void CallerSession::evict()
+{
+    if (!this->link)
+        return;
+    const std::string reason = "the session's values and prepared statements take too much memory";
+    this->service.log().messageRefused(this->database, reason);
+    this->link->refuse(AnswerCode::TooLarge, reason);
+}
+
 void CallerSession::setValue(const Statement& set)
 {
     if (this->transaction && this->transaction->failed) {
         this->refuseInFailedTransaction();
         return;
     }
+    const auto known = this->values.all().find(set.name);
+    if (!this->reserve(
+            known == this->values.all().end() ? 0 : keptSize(set.name, known->second), keptSize(set.name, set.text)))
+        return;
     this->values.set(set.name, set.text);
     this->answer({});
 }
@@ -131,6 +175,10 @@
         this->refuseInFailedTransaction();
         return;
     }
+    const auto known = this->preparedStatements.find(definition.name);
+    if (!this->reserve(known == this->preparedStatements.end() ? 0 : keptSize(known->first, known->second.text),
+            keptSize(definition.name, definition.text)))
+        return;
     this->preparedStatements[definition.name] = { definition.effect, definition.text };
     this->answer({});
 }
@@ -141,12 +189,15 @@
         this->refuseInFailedTransaction();
         return;
     }
-    if (!this->preparedStatements.erase(named.name)) {
+    const auto known = this->preparedStatements.find(named.name);
+    if (known == this->preparedStatements.end()) {
         if (this->transaction)
             this->transaction->failed = true;
         this->refuse(AnswerCode::UnknownPrepared, named.name);
         return;
     }
+    this->reserve(keptSize(known->first, known->second.text), 0);
+    this->preparedStatements.erase(known);
     this->answer({});
 }
 
@@ -185,6 +236,7 @@
         final.state = this->transaction->failed && this->transaction->failure.empty() ? TransactionState::Failed
                                                                                       : TransactionState::Open;
     this->link->answer(final);
+    std::string().swap(this->currentStatement.text);
     this->checkTransaction();
     if (this->transaction && !this->transaction->failed)
         this->startIdleTimer();
--- a/src/Statements/CallerSession.h
+++ b/src/Statements/CallerSession.h
@@ -47,6 +47,12 @@
     /// Answers the pending statement, if there is one: as not run, or as in doubt if it may have run.
     void endPendingStatement(const std::string& reason);
 
+    /// Bytes of the values and prepared statements that the caller keeps in the session.
+    size_t stateBytes() const { return this->keptBytes; }
+
+    /// Ends the session and its connection, because sessions keep more than the process can hold.
+    void evict();
+
     bool hasOpenTransaction() const { return this->transaction && !this->transaction->failed; }
 
     /// True if the open transaction needs a key that is not valid any more.
@@ -102,6 +108,7 @@
     bool authorise(const SessionRoute&, OrganisationId&) const;
 
     // Statements that the proxy executes itself.
+    bool reserve(size_t before, size_t after);
     void setValue(const Statement&);
     void prepare(const Statement&);
     void deallocate(const Statement&);
@@ -169,10 +176,11 @@
     std::string keyDigest;
     bool isOpen = false;
     bool isStatementPending = false;
-    Statement currentStatement; ///< pending statement, kept for the log of failed statements
+    Statement currentStatement; ///< pending statement; without its text once it has been answered
     Instant currentArrival {};
     SessionValues values;
     std::map<std::string, PreparedStatement> preparedStatements;
+    size_t keptBytes = 0; ///< of the values and prepared statements, with their names
     std::map<GroupId, LogPosition> lastCommits; ///< newest position of this session's commits in each group
     std::optional<Operation> operation;
     std::optional<Transaction> transaction;
--- a/src/Statements/SessionValues.cpp
+++ b/src/Statements/SessionValues.cpp
@@ -2,6 +2,10 @@
 
 namespace Lavendervane {
 
+// Limits of the definitions that have an ID. Definitions are short texts, and applications use a few hundred.
+static constexpr size_t maxDefinitionBytes = size_t { 4 } << 20;
+static constexpr size_t maxDefinitions = 10'000;
+
 // Versions are unique among all sessions of a thread. A session stays on one thread.
 static uint64_t nextVersion()
 {
@@ -24,7 +28,14 @@
 
 uint32_t PreparedStatementIds::idOf(const PreparedStatement& statement)
 {
-    return this->ids.emplace(statement, static_cast<uint32_t>(this->ids.size() + 1)).first->second;
+    if (const auto known = this->ids.find(statement); known != this->ids.end())
+        return known->second;
+    if (this->textBytes + statement.text.size() > maxDefinitionBytes || this->ids.size() >= maxDefinitions) {
+        this->ids.clear();
+        this->textBytes = 0;
+    }
+    this->textBytes += statement.text.size();
+    return this->ids.emplace(statement, ++this->lastId).first->second;
 }
 
 } // namespace Lavendervane
--- a/src/Statements/SessionValues.h
+++ b/src/Statements/SessionValues.h
@@ -34,13 +34,16 @@
 std::string preparedName(uint32_t id);
 
 /// Assigns IDs to prepared statements. Equal definitions get the same ID, so that sessions can share the statements
-/// that are prepared on a connection.
+/// that are prepared on a connection. Once the definitions take too much memory, all are forgotten: they get new IDs,
+/// and are prepared again.
 class PreparedStatementIds {
 public:
     uint32_t idOf(const PreparedStatement&);
 
 private:
     std::map<PreparedStatement, uint32_t> ids;
+    uint32_t lastId = 0;
+    size_t textBytes = 0; ///< of the definitions in `ids`
 };
 
 } // namespace Lavendervane
--- a/src/Statements/StatementService.cpp
+++ b/src/Statements/StatementService.cpp
@@ -17,6 +17,7 @@
     , peers(transport)
     , listener(trafficListener)
     , trafficLog(log)
+    , stateBudget(this->options.sessionState)
     , requestAdmission(this->limitShares, timers, transport, this->options.vm, this->options.dataCentre,
           this->options.admission, stableHash(this->options.vm.str()))
     , reachabilityPoll(
@@ -250,10 +251,28 @@
 
 void StatementService::removeSession(CallerSession& session)
 {
-    this->sessions.erase(&session);
+    if (this->sessions.erase(&session))
+        this->stateBudget.replace(session.stateBytes(), 0);
     this->trafficLog.sessionsChanged(this->sessions.size());
 }
 
+bool StatementService::makeRoom(const CallerSession& session, size_t total, size_t more)
+{
+    while (!this->stateBudget.hasRoom(more)) {
+        const auto largest = std::max_element(
+            this->sessions.begin(), this->sessions.end(), [](const CallerSession* left, const CallerSession* right) {
+                return left->stateBytes() < right->stateBytes();
+            });
+        if (largest == this->sessions.end() || *largest == &session || (*largest)->stateBytes() <= total)
+            return false;
+        CallerSession& evicted = **largest;
+        evicted.evict();
+        if (this->sessions.count(&evicted))
+            return false;
+    }
+    return true;
+}
+
 void StatementService::onPeerMessage(const std::string& sender, const PeerMessage& message)
 {
     if (const auto* request = std::get_if<TokenRequest>(&message)) {
--- a/src/Statements/StatementService.h
+++ b/src/Statements/StatementService.h
@@ -12,6 +12,7 @@
 #include "Statements/IsolationDetector.h"
 #include "Statements/ReachabilityPoll.h"
 #include "Statements/RequestAdmission.h"
+#include "Statements/SessionStateBudget.h"
 #include "Statements/SessionValues.h"
 #include "Statements/TrafficLog.h"
 
@@ -48,6 +49,7 @@
     Duration primaryChangeTimeout = std::chrono::milliseconds(150);
     /// How long after the expected time the old primary stays unused, with synchronous replication.
     Duration successorGrace = std::chrono::milliseconds(500);
+    SessionStateLimits sessionState;
 };
 
 /// Numbers of sessions, for logs.
@@ -109,6 +111,7 @@
     Timers& timers() { return this->clock; }
     TrafficListener& trafficListener() { return this->listener; }
     TrafficLog& log() { return this->trafficLog; }
+    SessionStateBudget& sessionState() { return this->stateBudget; }
     PreparedStatementIds& preparedStatementIds() { return this->statementIds; }
     const StatementServiceSettings& settings() const { return this->options; }
 
@@ -163,6 +166,10 @@
 
     void removeSession(CallerSession&);
 
+    /// Makes room for `more` bytes in a session that is to keep `total` bytes. Sessions that keep more than that end
+    /// for it, the largest first. Returns false if there is not enough room.
+    bool makeRoom(const CallerSession&, size_t total, size_t more);
+
     void onPeerMessage(const std::string& sender, const PeerMessage&) override;
 
 private:
@@ -191,6 +198,7 @@
     TrafficListener& listener;
     TrafficLog& trafficLog;
     LimitShares limitShares;
+    SessionStateBudget stateBudget;
     RequestAdmission requestAdmission;
     ReachabilityPoll reachabilityPoll;
     PrimaryLease lease;
--- a/tests/EntryProcess/EntryFleet.cpp
+++ b/tests/EntryProcess/EntryFleet.cpp
@@ -2,6 +2,9 @@
 
 #include <nlohmann/json.hpp>
 
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
+
 #include <algorithm>
 #include <cstdlib>
 #include <filesystem>
@@ -204,8 +207,8 @@
                         << "201:" << this->promotions->port()
                         << "\nbounds.grace_s=6\nbounds.drain_ms=7000\nbounds.config_apply_ms=3000\n"
                            "bounds.quota_window_s=5\nbounds.quota_overage=0.1\nbounds.quota_slack=20\n"
-                           "bounds.fencing_required=true\nlimits.cpu_share=1\nheartbeat_ms="
-                        << heartbeat.count() << "\n";
+                           "bounds.fencing_required=true\nlimits.cpu_share=1\nlimits.memory_mb="
+                        << this->settings.memoryMegabytes << "\nheartbeat_ms=" << heartbeat.count() << "\n";
     this->vms.push_back({ dataCentre, ip,
         std::make_unique<ChildProcess>(this->settings.program, std::vector<std::string> { "--metrics-port=0" },
             std::map<std::string, std::string> { { "LAVENDERVANE_NODE_FILE", path } },
@@ -247,6 +250,40 @@
     this->checker.finish();
 }
 
+size_t EntryFleet::keepValues(size_t connections, size_t values, size_t bytes)
+{
+    size_t highest = 0;
+    std::string answer;
+    // Sends a message and waits for its answer or the end of the connection.
+    const auto exchange = [&](asio::ip::tcp::socket& socket, const std::string& message) {
+        bool isDone = false;
+        asio::async_write(socket, asio::buffer(message), [](const boost::system::error_code&, size_t) {});
+        answer.clear();
+        asio::async_read_until(socket, asio::dynamic_buffer(answer), "READY",
+            [&isDone, &socket](const boost::system::error_code& error, size_t) {
+                isDone = true;
+                boost::system::error_code ignored; // the session has ended
+                if (error)
+                    socket.close(ignored);
+            });
+        while (!isDone)
+            this->context.run_one_for(10ms);
+        highest = std::max(highest, this->vms.front().process->residentBytes());
+    };
+    for (size_t index = 0; index < connections; ++index) {
+        this->keepers.push_back(std::make_unique<asio::ip::tcp::socket>(this->context));
+        this->keepers.back()->connect(this->callerSettings.vms.front());
+        exchange(*this->keepers.back(), "CONNECT stock-first k1a\r\n");
+    }
+    for (size_t value = 0; value < values; ++value) {
+        for (const auto& keeper : this->keepers) {
+            if (keeper->is_open())
+                exchange(*keeper, "QUERY 1 SET v" + std::to_string(value) + " " + std::string(bytes, 'x') + "\r\n");
+        }
+    }
+    return highest;
+}
+
 bool EntryFleet::areAllRunning()
 {
     return std::all_of(this->vms.begin(), this->vms.end(), [](const Vm& vm) { return vm.process->isRunning(); });
--- a/tests/EntryProcess/EntryFleet.h
+++ b/tests/EntryProcess/EntryFleet.h
@@ -25,6 +25,7 @@
     std::chrono::milliseconds duration { 12'000 }; ///< time in which callers start operations
     std::chrono::milliseconds longestPause { 150 }; ///< of callers between operations
     FaultShares faults;
+    uint64_t memoryMegabytes = 182; ///< limit in the settings of the processes
 };
 
 /// Three processes of the program on addresses of loopback, one for each data centre, with two groups of three
@@ -43,6 +44,10 @@
     /// Lets the callers run and waits for their last answers.
     void run();
 
+    /// Opens `connections` sessions at the first process. Each sets `values` values of `bytes` bytes, one after the
+    /// other, and then stays open. Returns the highest resident memory of the process in bytes.
+    size_t keepValues(size_t connections, size_t values, size_t bytes);
+
     /// Returns false if a process has ended by itself.
     bool areAllRunning();
 
@@ -85,6 +90,7 @@
     std::vector<Vm> vms;
     CallerSettings callerSettings;
     std::vector<std::unique_ptr<CallerStandIn>> callers;
+    std::vector<std::unique_ptr<boost::asio::ip::tcp::socket>> keepers; ///< sessions of `keepValues`
 };
 
 } // namespace Lavendervane::EntryProcess
--- a/tests/EntryProcess/EntryProcessTest.cpp
+++ b/tests/EntryProcess/EntryProcessTest.cpp
@@ -94,6 +94,23 @@
 // Guards against promises that are broken, or statements that fail, while nothing is wrong.
 BOOST_AUTO_TEST_CASE(Statements_NoFaults_SucceedAndKeepTheirPromises) { runScenario({ "no faults", 1, {}, 0.95 }); }
 
+// Guards against callers that run a process out of memory with the values of their sessions.
+BOOST_AUTO_TEST_CASE(SessionValues_MoreThanMemoryHolds_ProcessStaysWithinIt)
+{
+    FleetSettings settings;
+    settings.memoryMegabytes = 64;
+    settings.callers = 1;
+    settings.duration = std::chrono::milliseconds(500);
+    EntryFleet fleet(settings);
+    BOOST_REQUIRE(fleet.waitUntilReady());
+    const size_t highest = fleet.keepValues(24, 4, 1'000'000);
+    BOOST_TEST(highest <= settings.memoryMegabytes << 20);
+    BOOST_TEST(fleet.areAllRunning());
+    fleet.run();
+    BOOST_TEST(fleet.result().violations().empty());
+    BOOST_TEST(fleet.result().successShare() > 0);
+}
+
 static FaultShares makeOddBytes()
 {
     FaultShares faults;
--- a/tests/Integration/ChildProcess.cpp
+++ b/tests/Integration/ChildProcess.cpp
@@ -10,6 +10,8 @@
 #include <stdexcept>
 #include <thread>
 
+#include <unistd.h>
+
 namespace Lavendervane {
 
 namespace process = boost::process;
@@ -43,6 +45,15 @@
         ::kill(this->child.id(), number);
 }
 
+size_t ChildProcess::residentBytes()
+{
+    std::ifstream status("/proc/" + std::to_string(this->child.id()) + "/statm");
+    size_t total = 0;
+    size_t resident = 0;
+    status >> total >> resident;
+    return resident * static_cast<size_t>(sysconf(_SC_PAGESIZE));
+}
+
 void ChildProcess::kill()
 {
     std::error_code ignored;
--- a/tests/Integration/ChildProcess.h
+++ b/tests/Integration/ChildProcess.h
@@ -23,6 +23,9 @@
 
     void sendSignal(int number);
 
+    /// Resident memory of the process in bytes; 0 once it has ended.
+    size_t residentBytes();
+
     /// Kills the process and waits for its end.
     void kill();
 
--- a/tests/Statements/CallerSessionTest.cpp
+++ b/tests/Statements/CallerSessionTest.cpp
@@ -39,6 +39,34 @@
     BOOST_TEST((b.empty() ? c : b).front() == "READ y after 1.100");
 }
 
+// Guards against callers that use up the memory for values and prepared statements: the session that keeps most ends
+// for one that keeps less, no single one may keep too much, and what a session has kept is free after its end.
+BOOST_AUTO_TEST_CASE(SessionState_MoreThanBudget_LargestSessionEnds)
+{
+    this->service.reset();
+    this->settings.sessionState = { 6'000, 10'000 };
+    this->service = std::make_unique<StatementService>(this->settings, this->timers, this->connector, this->transport,
+        this->relayTransport, this->trafficListener, this->log);
+    this->publish();
+    auto large = this->open("strong");
+    auto other = this->open("strong");
+    auto small = this->open("strong");
+    large->send(StatementKind::SetValue, std::string(5'000, 'x'), "a");
+    other->send(StatementKind::Prepare, std::string(4'000, 'x'), "p");
+    large->send(StatementKind::SetValue, std::string(5'000, 'x'), "b");
+    BOOST_TEST((large->last().code == AnswerCode::TooLarge));
+    large->send(StatementKind::SetValue, std::string(5'400, 'x'), "a");
+    BOOST_TEST((large->last().code == AnswerCode::Done));
+    small->send(StatementKind::SetValue, std::string(500, 'x'), "a");
+    BOOST_TEST((small->last().code == AnswerCode::Done));
+    BOOST_TEST((large->refused == AnswerCode::TooLarge));
+    BOOST_TEST(!other->refused.has_value());
+    other->send(StatementKind::Deallocate, "", "p");
+    other->disconnect();
+    small->disconnect();
+    BOOST_TEST(this->service->sessionState().usedBytes() == 0U);
+}
+
 // Guards against an old answer to a begin that is taken for the present end of the log. Only the endpoint's signature
 // shows that its answers are not repetitions.
 BOOST_AUTO_TEST_CASE(Read_BeginWithoutSignedAnswerAfterIt_PositionIsNotUsed)
--- a/tests/Statements/ServiceFixture.h
+++ b/tests/Statements/ServiceFixture.h
@@ -24,7 +24,12 @@
     ~FakeCaller() override { this->disconnect(); }
 
     void accept() override { this->accepted = true; }
-    void refuse(AnswerCode code, const std::string&) override { this->refused = code; }
+    void refuse(AnswerCode code, const std::string&) override
+    {
+        this->refused = code;
+        if (this->accepted)
+            this->disconnect();
+    }
     void answer(const CallerAnswer& reply) override { this->answers.push_back(reply); }
     void close() override { this->closed = true; }
 
