Review case 15: a commit runs without values that were set in its transaction

The stand-in of the databases keeps session values.

Tried: a client sends BEGIN, WRITE, SET and COMMIT, 20 times, before six processes of the deploy file. No disruption.

--- a/review/harness-3.h
+++ b/review/harness-3.h
@@ -517,6 +517,7 @@
     bool isWrite = false;
     bool isCommit = false;
     int64_t atMs = 0;
+    std::map<std::string, std::string> values; ///< session values of the connection
 };
 
 class Service;
@@ -558,6 +559,7 @@
         bool isReadOnly = false;
         std::vector<std::string> writes;
         std::map<std::string, bool> prepared; ///< true for a write
+        std::map<std::string, std::string> values;
         uint64_t incarnation = 0;
     };
     void serve(int fd);
@@ -881,10 +883,15 @@
         session.writes.clear();
         return done;
     }
-    if (verb == "SET")
+    if (verb == "SET") {
+        const std::string name = takeWord(rest);
+        // Long values serve to fill memory elsewhere, not here.
+        session.values[name] = rest.substr(0, 40);
         return done;
+    }
     if (verb == "RESET") {
         session.prepared.clear();
+        session.values.clear();
         return done;
     }
     if (verb == "DEALLOC") {
@@ -914,7 +921,8 @@
         return fail("READONLY " + this->id);
     if (isWrite || verb == "COMMIT" || this->service.recordsReads)
         this->service.runs.push_back(
-            { query, text.substr(0, 80), this->id, session.tenant, isWrite, verb == "COMMIT", steadyMs() });
+            { query, text.substr(0, 80), this->id, session.tenant, isWrite, verb == "COMMIT", steadyMs(),
+                session.values });
     std::vector<std::string> writes;
     if (verb == "COMMIT") {
         if (session.state != 'T')
