--- a/review/15/main.cpp
+++ b/review/15/main.cpp
@@ -46,7 +46,7 @@
         const std::string clerk = "clerk" + std::to_string(round);
         if (!client.isOpen()) {
             acknowledged.clear();
-            if (!client.connectTo(deployment.machines[static_cast<size_t>(round) % 6]->ip, "db-primary", "k1a").isDone()) {
+            if (!client.connectTo(*deployment.machines[static_cast<size_t>(round) % 6], "db-primary", "k1a").isDone()) {
                 sleepMs(200);
                 continue;
             }
--- a/review/harness-3.h
+++ b/review/harness-3.h
@@ -118,15 +118,28 @@
     return ntohs(address.sin_port);
 }
 
-/// Finds a port that is free at the address.
+/// Finds a port that is free at the address, and below those that the system gives to connections.
 inline int freePort(const std::string& ip)
 {
-    const int fd = listenOn(ip, 0);
-    const int port = portOf(fd);
-    close(fd);
-    return port;
+    static int next = 10'000 + static_cast<int>(getpid()) % 20'000;
+    while (true) {
+        next = next < 30'000 ? next + 1 : 10'000;
+        const int fd = listenOn(ip, next);
+        if (fd < 0)
+            continue;
+        close(fd);
+        return next;
+    }
 }
 
+/// Ports of the machines; they are the same on all of them.
+struct MachinePorts {
+    int front = 0;
+    int ready = 0;
+    int metrics = 0;
+    int internal = 0; ///< first one
+};
+
 inline bool writeAll(int fd, const std::string& bytes)
 {
     size_t sent = 0;
@@ -966,10 +979,11 @@
 /// A process of the deploy file.
 class Machine {
 public:
-    Machine(std::string name, std::string zone, std::string ip, std::string folder)
+    Machine(std::string name, std::string zone, std::string ip, const MachinePorts& ports, std::string folder)
         : name(std::move(name))
         , zone(std::move(zone))
         , ip(std::move(ip))
+        , ports(ports)
         , folder(std::move(folder))
     {
     }
@@ -978,8 +992,9 @@
         std::ofstream(this->folder + "/" + this->name + ".conf")
             << "node_name=" << this->name << "\nrole=entry\nmachine_class=front\nserves=front\nip=" << this->ip
             << "\nzone=" << this->zone << "\nregion=main\n"
-            << zones << "listen_addrs.front=" << this->ip << ":8465\nlisten_addrs.ready=" << this->ip
-            << ":8460\ninternal_ports=7560,7575\nbootstrap=true\nlimits.cpu_share=0.17\nlimits.cores=1\n"
+            << zones << "listen_addrs.front=" << this->ip << ":" << this->ports.front << "\nlisten_addrs.ready="
+            << this->ip << ":" << this->ports.ready << "\ninternal_ports=" << this->ports.internal << ","
+            << this->ports.internal + 15 << "\nbootstrap=true\nlimits.cpu_share=0.17\nlimits.cores=1\n"
                "limits.memory_mb=182\nlimits.max_fds=2940\nlimits.link_mbps=700.0\nlimits.disk_mb=0\n"
                "discovery=platform\nentry_point=vip\nheartbeat_ms=1200\n"
                "contracts=base,drain,config,cost,recover,sql,tenants,quota,platform\n"
@@ -1005,6 +1020,7 @@
         if (getppid() != parent)
             _exit(1);
         setenv("LAVENDERVANE_NODE_FILE", settings.c_str(), 1);
+        setenv("LAVENDERVANE_METRICS_PORT", std::to_string(this->ports.metrics).c_str(), 1);
         const int fd = open(output.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
         dup2(fd, 1);
         dup2(fd, 2);
@@ -1039,7 +1055,7 @@
     bool isReady() const
     {
         const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-        const sockaddr_in address = makeAddress(this->ip, 8460);
+        const sockaddr_in address = makeAddress(this->ip, this->ports.ready);
         bool ready = false;
         if (!connect(fd, reinterpret_cast<const sockaddr*>(&address), sizeof address)
             && writeAll(fd, "GET /-/ready HTTP/1.1\r\nHost: ready\r\n\r\n")) {
@@ -1053,6 +1069,7 @@
     const std::string name;
     const std::string zone;
     const std::string ip;
+    const MachinePorts ports;
 
 private:
     std::string folder;
@@ -1071,13 +1088,13 @@
 public:
     ~Client() { this->end(); }
 
-    Answer connectTo(const std::string& ip, const std::string& database, const std::string& key)
+    Answer connectTo(const Machine& machine, const std::string& database, const std::string& key)
     {
         this->end();
         this->fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
         const int on = 1;
         setsockopt(this->fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
-        const sockaddr_in address = makeAddress(ip, 8465);
+        const sockaddr_in address = makeAddress(machine.ip, machine.ports.front);
         if (connect(this->fd, reinterpret_cast<const sockaddr*>(&address), sizeof address)) {
             this->end();
             return { "NONE", "no connection" };
@@ -1163,11 +1180,13 @@
         std::string zones;
         for (const std::string& zone : zoneNames())
             zones += "zones." + zone + "=main\n";
+        const std::string first = this->prefix + "11";
+        const MachinePorts ports { freePort(first), freePort(first), freePort(first), freePort(first) };
         for (size_t index = 0; index < 3 * machinesPerZone; ++index) {
             const std::string zone = zoneNames()[index % 3];
             this->machines.push_back(
                 std::make_unique<Machine>("front-" + zone + "-" + std::to_string(index / 3 + 1), zone,
-                    this->prefix + std::to_string(11 + index), this->folder));
+                    this->prefix + std::to_string(11 + index), ports, this->folder));
             this->machines.back()->writeSettings(this->store.address(), this->service.dutyAddress(), zones);
         }
     }
@@ -1300,7 +1319,7 @@
         while (!this->isStopping) {
             if (!client.isOpen()) {
                 const auto& machine = this->deployment.machines[next++ % this->deployment.machines.size()];
-                if (!client.connectTo(machine->ip, "db-primary", this->key).isDone()) {
+                if (!client.connectTo(*machine, "db-primary", this->key).isDone()) {
                     sleepMs(50);
                     continue;
                 }
