Send a commit only under the values that were set in its transaction

Cause: the VM answers SET itself and sends the value with the next statement, but CallerSession::commit sent the commit alone. The record shows no SET before the commit, and one before the next statement on the same connection.

Change: the commit goes the way of all other statements, behind what the connection lacks. The values are a guard: if they are refused or not answered, the commit is not sent and the transaction is answered as aborted. The lease on the primary is checked again in between. A commit whose values are current is sent as before.

--- a/src/Statements/CallerTransaction.cpp
+++ b/src/Statements/CallerTransaction.cpp
@@ -195,13 +195,16 @@
     }
     const Instant sent = this->service.timers().now();
     const auto connection = open.connection;
-    connection->exchange({ next }, { this->currentArrival + open.route.statementTimeout },
+    // Values may have been set since the last statement, and the endpoint commits under those of the connection.
+    connection->exchange(
+        this->withSetupStatements(connection, next), { this->currentArrival + open.route.statementTimeout },
         [self = this->shared_from_this(), connection, sent](ExchangeResult result) {
             if (self->transaction && self->transaction->connection == connection)
                 self->handleCommitAnswer(std::move(result), sent);
             else if (connection->isAlive() && connection->pool())
                 connection->pool()->release(connection);
-        });
+        },
+        this->shared_from_this());
 }
 
 void CallerSession::handleCommitAnswer(ExchangeResult result, Instant sent)
@@ -212,8 +215,9 @@
     if (!result.hasAnswers()) {
         this->endTransaction(false);
         const std::string message = result.timedOut ? "no answer to the commit in time" : "the connection broke";
-        // A transaction without writes has no effect that could be in doubt.
-        CallerAnswer reply { wrote ? AnswerCode::InDoubt : AnswerCode::Aborted, "", message };
+        // A transaction without writes has no effect that could be in doubt, nor has a commit that was not sent.
+        const bool isInDoubt = wrote && !result.isRestWithheld;
+        CallerAnswer reply { isInDoubt ? AnswerCode::InDoubt : AnswerCode::Aborted, "", message };
         this->logFailure(reply, result.describeFailure());
         this->answer(reply);
         return;
--- a/src/Statements/PooledConnection.cpp
+++ b/src/Statements/PooledConnection.cpp
@@ -72,6 +72,10 @@
     if (setsValues(statements) && !this->link->keepsSessionValues()) {
         // Sent together with its session values, a statement would run even if the endpoint refuses them.
         guardCount = std::max(guardCount, this->setupStatementCount);
+        // If a repetition were taken for the answer to a value, the refusal of the value could be taken for that of a
+        // commit that runs.
+        if (this->continuesTransaction && statements.back().kind == StatementKind::Commit)
+            statements[guardCount - 1].needsUniqueAnswer = true;
     }
     const bool isGuardedByLink = guardCount && this->link->guardsBatches();
     this->batch.start(statements, guardCount, isGuardedByLink);
--- a/src/Statements/Statement.h
+++ b/src/Statements/Statement.h
@@ -44,8 +44,8 @@
     /// SetValue: name of the value. Prepare, Execute, Deallocate: name of the prepared statement.
     std::string name;
     PreparedEffect effect = PreparedEffect::Read; ///< used by Prepare only
-    /// Used by Begin and BeginReadOnly only: an answer of an endpoint that repeats answers ends the connection if it
-    /// may be a repetition, so that no statement runs outside the transaction.
+    /// Used by statements of a guard: an answer of an endpoint that repeats answers ends the connection if it may be a
+    /// repetition, so that no statement runs outside the transaction or without its session values.
     bool needsUniqueAnswer = false;
     /// StepDown: a primary of a lower term steps down. Pause: must be newer than any term known to the replica.
     uint64_t term = 0;
--- a/tests/EntryProcess/CallerStandIn.cpp
+++ b/tests/EntryProcess/CallerStandIn.cpp
@@ -179,6 +179,8 @@
             this->plan.push_back(Kind::Execute);
         else
             this->plan.push_back(choice == 0 || isReadOnly ? Kind::Read : Kind::Write);
+        if (this->random.chance(0.1))
+            this->plan.push_back(Kind::SetValue);
     }
     this->plan.push_back(this->random.chance(0.8) ? Kind::Commit : Kind::Rollback);
 }
--- a/tests/Relay/PooledLinkTest.cpp
+++ b/tests/Relay/PooledLinkTest.cpp
@@ -177,7 +177,11 @@
     };
     FakeDatabase& database = this->connector.database("a");
     for (const Row& row : { Row { false, StatementKind::Write, Event::Refusal, AnswerCode::Busy },
-             Row { true, StatementKind::Write, Event::Refusal, {} } }) {
+             Row { true, StatementKind::Write, Event::Refusal, {} },
+             Row { true, StatementKind::Commit, Event::Refusal, AnswerCode::Busy },
+             Row { true, StatementKind::Commit, Event::None, AnswerCode::Done },
+             Row { true, StatementKind::Commit, Event::Drain, AnswerCode::Done },
+             Row { true, StatementKind::Commit, Event::Close, {} } }) {
         RelayFleet::Listener listener;
         this->pool->update(this->endpoint);
         const auto link = this->open("desk", listener);
--- a/tests/Relay/TcpRelayTransportTest.cpp
+++ b/tests/Relay/TcpRelayTransportTest.cpp
@@ -1,5 +1,7 @@
 #include "Relay/TcpRelayTransport.h"
 
+#include "Statements/SessionStateBudget.h"
+
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/test/unit_test.hpp>
@@ -151,4 +153,22 @@
     BOOST_TEST((failed && failed->link == 1 && failed->failure == LinkFailure::Broken));
 }
 
+// Guards against a commit that cannot be sent because of the values that were set before it.
+BOOST_AUTO_TEST_CASE(Send_CommitWithAllValuesThatASessionMayKeep_Arrives)
+{
+    const RelayChannel channel = this->left.open(this->rightAddress);
+    static constexpr size_t values = 4;
+    static constexpr size_t overhead = 128; // counted for each value besides its texts
+    Statement set = makeProxyStatement(StatementKind::SetValue);
+    set.name = "n";
+    set.text = std::string(SessionStateLimits().perSession / values - overhead - set.name.size(), 'x');
+    std::vector<Statement> batch(values, set);
+    batch.push_back(makeProxyStatement(StatementKind::Commit));
+    batch.back().id = std::string(40, 'x');
+    this->left.send(channel, RelayBatch { 1, 800, batch });
+    this->runUntil([this] { return this->rightRecorder.closed || !this->rightRecorder.messages.empty(); });
+    BOOST_REQUIRE_EQUAL(this->rightRecorder.messages.size(), 1U);
+    BOOST_TEST(std::holds_alternative<RelayBatch>(this->rightRecorder.messages.front()));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/Statements/PrimaryLeaseSessionTest.cpp
+++ b/tests/Statements/PrimaryLeaseSessionTest.cpp
@@ -42,11 +42,24 @@
         this->timers.advance(1500ms);
     }
 
-    /// Time from `stopRenewals` after `openSlow` until the lease expires.
-    static Duration timeToExpiry()
+    /// Opens a session as `openSlow` does. Its open transaction has written, and then set a value.
+    std::unique_ptr<FakeCaller> openTransaction()
+    {
+        auto caller = this->openSlow();
+        caller->send(StatementKind::Begin);
+        caller->send(StatementKind::Write, "WRITE x 1");
+        this->timers.advance(2s);
+        BOOST_TEST((caller->last().code == AnswerCode::Done));
+        caller->send(StatementKind::SetValue, "1", "zone");
+        return caller;
+    }
+
+    /// Time from `stopRenewals` after `open` until the lease expires.
+    static Duration timeToExpiry(
+        std::unique_ptr<FakeCaller> (LeasedServiceFixture::*open)() = &LeasedServiceFixture::openSlow)
     {
         LeasedServiceFixture probe;
-        const auto caller = probe.openSlow();
+        const auto caller = (probe.*open)();
         probe.stopRenewals();
         Duration time {};
         for (; probe.service->primaryLease().mayUse(probe.endpoints.front()); time += 1ms)
@@ -154,6 +167,19 @@
     BOOST_TEST((std::find(seen.begin(), seen.end(), "commit") == seen.end()));
 }
 
+// Guards against a commit that is sent after the lease has expired, while the endpoint set a value for it.
+BOOST_AUTO_TEST_CASE(Commit_LeaseExpiresWhileValueIsSet_IsNotSent)
+{
+    auto caller = this->openTransaction();
+    this->stopRenewals();
+    this->timers.advance(timeToExpiry(&LeasedServiceFixture::openTransaction) - 100ms);
+    caller->send(StatementKind::Commit);
+    this->timers.advance(1s);
+    BOOST_TEST((caller->last().code == AnswerCode::Aborted));
+    BOOST_TEST(this->connector.database("a").receivedStatements.back() == "set zone=1");
+    BOOST_TEST(this->connector.database("a").connections == 0U);
+}
+
 // A VM that confirms a revocation must not pass on answers of the revoked endpoint afterwards.
 BOOST_AUTO_TEST_CASE(Write_PrimaryRevokedWhilePending_IsInDoubt)
 {
