Count an earlier run of a replica as missing until its log is received

Cause: the record, and the answers weighed against it, named endpoints. A commit is held by the log of one run; a later run under the same ID, or an endpoint at its address, may have started without it.

Change: the record names runs by ID and start time. Succession counts a recorded run as missing unless it is the registered one and has answered. An answer without a term counts as missing for 10 s, because the registry may be behind. ReplicaRecorder keeps an earlier run until enough endpoints have received all that it can hold. Rows of older versions match any run.

Evidence: with runs of one endpoint taken for one, as before, the new cases of PromotionCoordinatorTest and ReplicaRecorderTest fail. The case Replica_AddressTakenOver_IsReplacedInRecord expected that an endpoint at the address stands for the log at once; the case that takes its place expects it once the log has been received.

--- a/src/Promotion/GroupRecord.cpp
+++ b/src/Promotion/GroupRecord.cpp
@@ -20,6 +20,33 @@
     return field->get<std::string>();
 }
 
+std::string describe(const EndpointRun& run)
+{
+    return run.endpoint.str() + " (started at " + std::to_string(run.startedAt) + ")";
+}
+
+// Older versions of the program write the addresses by endpoint only, and remove `runs` when they replace the row.
+static std::map<EndpointRun, std::string> parseMembers(const Json& json)
+{
+    std::map<EndpointRun, std::string> members;
+    if (const auto runs = json.find("runs"); runs != json.end() && runs->is_array()) {
+        for (const Json& run : *runs) {
+            if (run.is_array() && run.size() == 3 && run[0].is_string() && run[1].is_number_unsigned()
+                && run[2].is_string())
+                members.emplace(EndpointRun { EndpointId(run[0].get<std::string>()), run[1].get<uint64_t>() },
+                    run[2].get<std::string>());
+        }
+        return members;
+    }
+    if (const auto addresses = json.find("members"); addresses != json.end() && addresses->is_object()) {
+        for (const auto& [id, address] : addresses->items()) {
+            if (address.is_string())
+                members.emplace(EndpointRun { EndpointId(id), 0 }, address.get<std::string>());
+        }
+    }
+    return members;
+}
+
 GroupRecord GroupRecord::parse(const TableRow& row)
 {
     GroupRecord record;
@@ -35,13 +62,7 @@
     record.revokedAddress = textField(json, "revoked_address").value_or("");
     record.leadership = { unsignedField(json, "term"), EndpointId(textField(json, "promoted").value_or("")),
         unsignedField(json, "promoted_start") };
-    const auto members = json.find("members");
-    if (members != json.end() && members->is_object()) {
-        for (const auto& [id, address] : members->items()) {
-            if (address.is_string())
-                record.members.emplace(id, address.get<std::string>());
-        }
-    }
+    record.members = parseMembers(json);
     record.primary = EndpointId(textField(json, "primary").value_or(""));
     return record;
 }
@@ -61,8 +82,11 @@
     }
     if (!this->members.empty()) {
         json["members"] = Json::object();
-        for (const auto& [id, address] : this->members)
-            json["members"][id.str()] = address;
+        json["runs"] = Json::array();
+        for (const auto& [run, address] : this->members) {
+            json["members"][run.endpoint.str()] = address;
+            json["runs"].push_back(Json::array({ run.endpoint.str(), run.startedAt, address }));
+        }
         json["primary"] = this->primary.str();
     }
     return json.dump();
--- a/src/Promotion/GroupRecord.h
+++ b/src/Promotion/GroupRecord.h
@@ -19,6 +19,24 @@
     friend bool operator==(const LeadershipRecord&, const LeadershipRecord&) = default;
 };
 
+/// One run of an endpoint, from its start to its end. A later run may have kept the log, or hold nothing of it.
+struct EndpointRun {
+    EndpointId endpoint;
+    uint64_t startedAt = 0; ///< Unix time in ms; 0 if it is not known
+
+    /// True if both may be the same run.
+    bool matches(const EndpointRun& other) const
+    {
+        return this->endpoint == other.endpoint
+            && (this->startedAt == other.startedAt || !this->startedAt || !other.startedAt);
+    }
+
+    friend auto operator<=>(const EndpointRun&, const EndpointRun&) = default;
+};
+
+/// Describes a run in logs, such as "i-7f3a91c2 (started at 1765154700000)".
+std::string describe(const EndpointRun&);
+
 /// What the platform's table holds about a group: the promotion lease, and what must outlast all VMs.
 struct GroupRecord {
     // Promotion lease
@@ -32,9 +50,9 @@
 
     LeadershipRecord leadership;
 
-    /// Addresses ("IP:port") of the endpoints that may hold commits which were acknowledged, including those that are
-    /// not registered any more. Kept for groups with synchronous replication only.
-    std::map<EndpointId, std::string> members;
+    /// Runs that may hold commits which were acknowledged, including those that are not registered any more, with the
+    /// addresses ("IP:port") of their endpoints. Kept for groups with synchronous replication only.
+    std::map<EndpointRun, std::string> members;
     EndpointId primary; ///< the primary when `members` was written
 
     /// Rows may be missing or written by another version of the program: what cannot be read is left empty.
--- a/src/Promotion/ReplicaRecorder.cpp
+++ b/src/Promotion/ReplicaRecorder.cpp
@@ -73,7 +73,8 @@
     }
     for (const RegisteredEndpoint& endpoint : registry.endpoints) {
         if (const auto group = present.find(endpoint.group); group != present.end())
-            group->second[endpoint.id] = { endpoint.address, endpoint.role == EndpointRole::Primary };
+            group->second[endpoint.id]
+                = { endpoint.address, endpoint.role == EndpointRole::Primary, endpoint.startedAt };
     }
     std::erase_if(this->groups, [&present](const auto& group) { return !present.count(group.first); });
     for (auto& [name, members] : present) {
@@ -92,11 +93,7 @@
 // Answers to a query from before the change must not bound the log of an endpoint that was still registered.
 void ReplicaRecorder::updateMembers(Group& group, std::map<EndpointId, Member> members, Instant now) const
 {
-    const auto isSame = [](const auto& left, const auto& right) {
-        return left.first == right.first && left.second.address == right.second.address
-            && left.second.isPrimary == right.second.isPrimary;
-    };
-    if (std::equal(members.begin(), members.end(), group.members.begin(), group.members.end(), isSame))
+    if (members == group.members)
         return;
     group.members = std::move(members);
     ++group.query;
@@ -106,22 +103,25 @@
     group.nextCall = std::max(group.nextCall, now + this->startDelay(group));
     group.nextQuery = now + this->startDelay(group);
     for (const auto& [id, member] : group.members) {
-        group.bounds.erase(id);
-        group.covered.erase(id);
+        group.bounds.erase({ id, member.startedAt });
+        group.covered.erase({ id, member.startedAt });
     }
 }
 
-// Endpoints that are recorded but not registered. One whose address another endpoint of the group has taken over has
-// handed its log over.
-std::map<EndpointId, std::string> ReplicaRecorder::absentees(const Group& group)
+bool ReplicaRecorder::Group::isRegistered(const EndpointRun& run) const
 {
-    std::map<EndpointId, std::string> absent = group.lostMembers;
+    const auto member = this->members.find(run.endpoint);
+    return member != this->members.end() && run.matches({ run.endpoint, member->second.startedAt });
+}
+
+// Runs that are recorded but not registered.
+std::map<EndpointRun, std::string> ReplicaRecorder::absentees(const Group& group)
+{
+    std::map<EndpointRun, std::string> absent = group.lostMembers;
     if (group.record)
         absent.insert(group.record->members.begin(), group.record->members.end());
     std::erase_if(absent, [&group](const auto& recorded) {
-        const bool isReplaced = std::any_of(group.members.begin(), group.members.end(),
-            [&recorded](const auto& member) { return member.second.address == recorded.second; });
-        return group.members.count(recorded.first) || group.covered.count(recorded.first) || isReplaced;
+        return group.isRegistered(recorded.first) || group.covered.count(recorded.first);
     });
     return absent;
 }
@@ -131,7 +131,7 @@
     GroupRecord record = *group.record;
     record.members = absentees(group);
     for (const auto& [id, member] : group.members)
-        record.members.emplace(id, member.address);
+        record.members.emplace(EndpointRun { id, member.startedAt }, member.address);
     if (const EndpointId primary = group.primary(); !primary.empty())
         record.primary = primary;
     return record;
@@ -180,9 +180,9 @@
         return {};
     const EndpointId primary = group.primary();
     const auto leader = event.statuses.find(primary);
-    const std::set<EndpointId> coveredBefore = group.covered;
+    const std::set<EndpointRun> coveredBefore = group.covered;
     const bool leads = leader != event.statuses.end() && leader->second.role == EndpointRole::Primary;
-    const auto unconfirmed = leads ? absentees(group) : std::map<EndpointId, std::string>();
+    const auto unconfirmed = leads ? absentees(group) : std::map<EndpointRun, std::string>();
     for (const auto& [absent, address] : unconfirmed) {
         const LogPosition bound = group.bounds.emplace(absent, leader->second.received).first->second;
         const auto holding = std::count_if(event.statuses.begin(), event.statuses.end(),
@@ -213,8 +213,8 @@
             group.callInProgress = true;
             wanted.generation = group.generation;
             std::string names;
-            for (const auto& [id, address] : wanted.members)
-                names += (names.empty() ? "" : " ") + id.str();
+            for (const auto& [run, address] : wanted.members)
+                names += (names.empty() ? "" : " ") + describe(run);
             effects.emplace_back(LogPromotionStep { group.name, "replicas_recorded", std::move(names) });
             effects.emplace_back(
                 WriteGroupRecord { group.name, wanted.replaceRow(key, group.revision, group.generation) });
--- a/src/Promotion/ReplicaRecorder.h
+++ b/src/Promotion/ReplicaRecorder.h
@@ -63,11 +63,12 @@
 using RecorderEffect = std::variant<ReadGroupRecord, WriteGroupRecord, QueryEndpointStatuses, SetRecorderTimer,
     PausedReplicasFound, LogPromotionStep>;
 
-/// Keeps the record of the endpoints that may hold acknowledged commits, for each group with synchronous replication.
-/// An endpoint that is not registered any more stays in the record until enough of the others have received all that
-/// the primary had when it was gone, or until another endpoint of the group has taken over its log at its address. A
-/// few VMs keep the record of each group. They also look for replicas that stay paused because the VM that paused them
-/// has ended. The class is a pure state machine: it reads no clock and does no I/O.
+/// Keeps the record of the runs of endpoints that may hold acknowledged commits, for each group with synchronous
+/// replication. A run that is not registered any more stays in the record until enough endpoints have received all that
+/// the primary had when it was gone. A later run of the endpoint, or another endpoint at its address, is one of these,
+/// because it may have started without the log. A few VMs keep the record of each group. They also look for replicas
+/// that stay paused because the VM that paused them has ended. The class is a pure state machine: it reads no clock and
+/// does no I/O.
 class ReplicaRecorder {
 public:
     ReplicaRecorder(VmId self, ReplicaRecorderSettings);
@@ -81,6 +82,9 @@
     struct Member {
         std::string address;
         bool isPrimary = false;
+        uint64_t startedAt = 0; ///< Unix time in ms
+
+        friend bool operator==(const Member&, const Member&) = default;
     };
 
     struct Group {
@@ -98,12 +102,13 @@
         Instant nextCall {}; ///< the table is not called before
         Instant nextQuery {};
         Instant nextPauseCheck {};
-        /// Position of the primary after an endpoint was gone, an upper bound of that endpoint's log.
-        std::map<EndpointId, LogPosition> bounds;
-        std::set<EndpointId> covered; ///< endpoints that are gone and hold nothing that the others lack
-        std::map<EndpointId, std::string> lostMembers; ///< recorded before the table was restored from an older copy
+        /// Position of the primary after a run was gone, an upper bound of that run's log.
+        std::map<EndpointRun, LogPosition> bounds;
+        std::set<EndpointRun> covered; ///< runs that are gone and held nothing that the others lack
+        std::map<EndpointRun, std::string> lostMembers; ///< recorded before the table was restored from an older copy
 
         EndpointId primary() const;
+        bool isRegistered(const EndpointRun&) const;
     };
 
     void handleRegistryUpdate(const RegistryUpdated&, Instant now);
@@ -114,7 +119,7 @@
     void handleTableRestore();
     Effects advance(Group&, Instant now) const;
     static GroupRecord makeRecord(const Group&);
-    static std::map<EndpointId, std::string> absentees(const Group&);
+    static std::map<EndpointRun, std::string> absentees(const Group&);
     Duration startDelay(const Group&) const;
     std::optional<size_t> rankOf(const GroupId&) const;
     std::optional<Instant> nextEvent() const;
--- a/src/Promotion/Succession.cpp
+++ b/src/Promotion/Succession.cpp
@@ -51,32 +51,53 @@
     return question.oldPrimary.empty() ? this->record.primary : question.oldPrimary;
 }
 
-// Endpoints other than the old primary on which an acknowledged commit may be stored. One that is not registered any
-// more may come back with its log, possibly under another ID at its address.
-std::set<EndpointId> Succession::possibleHolders(const SuccessionQuestion& question) const
+// Runs of endpoints other than the old primary on which an acknowledged commit may be stored. An endpoint that is not
+// registered any more may come back with its log, possibly under another ID at its address. The old primary, whose log
+// is the longest, may have done so.
+std::set<EndpointRun> Succession::possibleHolders(const SuccessionQuestion& question) const
 {
     const EndpointId primary = this->oldPrimary(question);
-    const auto recordedPrimary = this->record.members.find(primary);
-    const auto registeredPrimary = question.members.find(primary);
-    std::string primaryAddress;
-    if (registeredPrimary != question.members.end())
-        primaryAddress = registeredPrimary->second.address;
-    else if (recordedPrimary != this->record.members.end())
-        primaryAddress = recordedPrimary->second;
-    std::set<EndpointId> holders;
-    std::set<std::string> addresses { primaryAddress };
+    std::set<std::string> primaryAddresses;
+    const auto registered = question.members.find(primary);
+    if (registered != question.members.end())
+        primaryAddresses.insert(registered->second.address);
+    for (const auto& [run, address] : this->record.members) {
+        if (run.endpoint == primary && registered == question.members.end())
+            primaryAddresses.insert(address);
+    }
+    primaryAddresses.erase("");
+    std::set<EndpointRun> holders;
+    std::set<std::string> addresses;
     for (const auto& [id, member] : question.members) {
-        if (id != primary && (member.address.empty() || member.address != primaryAddress))
-            holders.insert(id);
         addresses.insert(member.address);
+        if (id != primary && !primaryAddresses.count(member.address))
+            holders.insert({ id, member.startedAt });
     }
-    for (const auto& [id, address] : this->record.members) {
-        if (id != primary && !question.members.count(id) && (address.empty() || !addresses.count(address)))
-            holders.insert(id);
+    addresses.erase("");
+    for (const auto& [run, address] : this->record.members) {
+        const bool isKnown = std::any_of(holders.begin(), holders.end(),
+            [&recorded = run](const EndpointRun& holder) { return holder.matches(recorded); });
+        // The record of an older program version does not tell runs apart.
+        const bool isReplaced = !run.startedAt && addresses.count(address);
+        if (run.endpoint != primary && !primaryAddresses.count(address) && !isKnown && !isReplaced)
+            holders.insert(run);
     }
     return holders;
 }
 
+// Returns what the run has answered; null if it did not, or if the answer may be that of a later run. One that knows no
+// term has received nothing since it started, and may have started after the registry was read.
+const EndpointStatus* Succession::answerOf(const EndpointRun& run, const SuccessionQuestion& question) const
+{
+    const auto status = question.statuses.find(run.endpoint);
+    const auto member = question.members.find(run.endpoint);
+    if (status == question.statuses.end() || member == question.members.end()
+        || !run.matches({ run.endpoint, member->second.startedAt }))
+        return nullptr;
+    const bool mayHaveRestarted = !status->second.term && this->newestTerm(question) && !question.acceptsOutdated;
+    return mayHaveRestarted ? nullptr : &status->second;
+}
+
 // Returns the endpoint with the highest log position. A promotion discards all commits that the promoted one lacks.
 static EndpointId mostAdvanced(const std::map<EndpointId, EndpointStatus>& statuses)
 {
@@ -117,13 +138,13 @@
     size_t missing = 0;
     size_t notPaused = 0;
     std::string names;
-    for (const EndpointId& holder : this->possibleHolders(question)) {
-        const auto status = question.statuses.find(holder);
-        if (status == question.statuses.end()) {
+    for (const EndpointRun& holder : this->possibleHolders(question)) {
+        const EndpointStatus* status = this->answerOf(holder, question);
+        if (!status) {
             ++missing;
-            names += " " + holder.str();
+            names += " " + describe(holder);
         }
-        notPaused += status == question.statuses.end() || status->second.heldTerm < question.pauseTerm;
+        notPaused += !status || status->heldTerm < question.pauseTerm;
     }
     SuccessionAnswer answer { Action::Postpone, best, {}, false };
     if (missing >= this->synchronousReplicas) {
--- a/src/Promotion/Succession.h
+++ b/src/Promotion/Succession.h
@@ -33,7 +33,9 @@
     CommitBarrier barrier = CommitBarrier::None;
     uint64_t pauseTerm = 0; ///< term of the pause if the barrier is ReplicasPaused
     EndpointId orderedBefore; ///< endpoint that an unanswered order may still promote; preferred if it answered
-    bool acceptsOutdated = false; ///< an endpoint may be promoted that does not know the newest term
+    /// An endpoint may be promoted that does not know the newest term, and one that knows no term may always have been
+    /// without a log.
+    bool acceptsOutdated = false;
 };
 
 struct SuccessionAnswer {
@@ -53,7 +55,8 @@
 /// synchronous replication, only if it is certain to hold every acknowledged commit when it takes the lead:
 ///
 /// - An acknowledged commit is stored on the primary and on at least `synchronousReplicas` others. The most advanced
-///   endpoint that answered holds it if fewer than that many of the endpoints that may hold commits are missing.
+///   endpoint that answered holds it if fewer than that many of the runs that may hold commits are missing. A run is
+///   missing also if a later one of its endpoint answers: that one may hold nothing.
 /// - This stays true only behind a barrier, because the old primary may be back before its successor leads.
 ///
 /// What it must know for longer than a VM lives is in the GroupRecord.
@@ -83,7 +86,8 @@
     uint64_t newestTerm(const SuccessionQuestion&) const;
     bool isLeadershipRefuted(const SuccessionQuestion&) const;
     EndpointId oldPrimary(const SuccessionQuestion&) const;
-    std::set<EndpointId> possibleHolders(const SuccessionQuestion&) const;
+    std::set<EndpointRun> possibleHolders(const SuccessionQuestion&) const;
+    const EndpointStatus* answerOf(const EndpointRun&, const SuccessionQuestion&) const;
     SuccessionAnswer requireAcknowledgedCommits(const SuccessionQuestion&, const EndpointId& best) const;
 
     uint32_t synchronousReplicas = 0;
--- a/tests/Promotion/PromotionCoordinatorTest.cpp
+++ b/tests/Promotion/PromotionCoordinatorTest.cpp
@@ -178,6 +178,45 @@
     BOOST_TEST(this->find<SetPromotionTimer>());
 }
 
+// Guards against an answer that stands for an earlier run of its endpoint, whose log the present one may lack. One that
+// knows no term may be that of a run that the registry does not show yet.
+BOOST_AUTO_TEST_CASE(Primary_ReplicaHasStartedAgain_IsNotReplacedWithoutEarlierRun)
+{
+    struct Row {
+        std::string runs; ///< of b, as recorded
+        uint64_t startedAt; ///< of b, as registered
+        EndpointStatus ofB;
+        bool isPostponed;
+        bool isPostponedLater; ///< also after the time for which outdated replicas are not promoted
+    };
+    const EndpointStatus empty { EndpointRole::Replica, 0, {} };
+    for (const Row& row :
+        { Row { R"(["b",1,""])", 1, status(53), false, false }, Row { R"(["b",1,""])", 1, empty, true, false },
+            Row { R"(["b",1,""])", 2, empty, true, true }, Row { R"(["b",1,""])", 2, status(40), true, true },
+            Row { R"(["b",1,""],["b",2,""])", 2, status(53), true, true },
+            Row { R"(["b",2,""])", 2, status(53), false, false }, Row { R"(["b",0,""])", 2, status(53), false, false },
+            Row { "", 2, status(53), false, false } }) {
+        CoordinatorFixture fixture;
+        fixture.synchronousReplicas = 1;
+        fixture.leaseRow = R"({"primary":"a","members":{"b":""},"runs":[)" + row.runs + "]}";
+        RegistryUpdated update { { endpoint(a, EndpointRole::Primary), endpoint(b, EndpointRole::Replica),
+                                     endpoint(c, EndpointRole::Replica) },
+            { { stock, 1 } } };
+        update.endpoints[1].startedAt = row.startedAt;
+        fixture.handle(update);
+        for (const bool isPostponed : { row.isPostponed, row.isPostponedLater }) {
+            const uint64_t attempt = fixture.advanceToStatusQuery();
+            fixture.handle(EndpointStatusesReceived { stock, attempt, { { b, row.ofB }, { c, status(52) } } });
+            const auto* pause = fixture.find<QueryEndpointStatuses>();
+            BOOST_REQUIRE_MESSAGE((pause != nullptr) != isPostponed, row.runs << " " << row.startedAt);
+            if (!isPostponed)
+                break;
+            BOOST_TEST((fixture.timer.when > fixture.now));
+            fixture.now += 10s;
+        }
+    }
+}
+
 // A crashed primary may be back before its successor leads, and acknowledge commits that the successor lacks. Its
 // replicas must have stopped receiving before the successor is chosen.
 BOOST_AUTO_TEST_CASE(Primary_AllSynchronousReplicasAnswer_PausesThemAndPromotesFurthest)
--- a/tests/Promotion/ReplicaRecorderTest.cpp
+++ b/tests/Promotion/ReplicaRecorderTest.cpp
@@ -66,6 +66,7 @@
             endpoint.group = stock;
             endpoint.address = address;
             endpoint.role = id == a ? EndpointRole::Primary : EndpointRole::Replica;
+            endpoint.startedAt = this->starts.count(id) ? this->starts.at(id) : 1;
             update.endpoints.push_back(endpoint);
         }
         this->handle(update);
@@ -91,11 +92,12 @@
     std::vector<EndpointId> recorded() const
     {
         std::vector<EndpointId> ids;
-        for (const auto& [id, address] : GroupRecord::parse(this->row).members)
-            ids.push_back(id);
+        for (const auto& [run, address] : GroupRecord::parse(this->row).members)
+            ids.push_back(run.endpoint);
         return ids;
     }
 
+    std::map<EndpointId, uint64_t> starts; ///< 1 if missing
     const std::map<EndpointId, std::string> all { { a, "1" }, { b, "2" }, { c, "3" } };
     ReplicaRecorder recorder { VmId("vm-1"), {} };
     Instant now { 100s };
@@ -160,12 +162,38 @@
     BOOST_TEST((this->recorded() == std::vector<EndpointId> { a, b, c }));
 }
 
-// An endpoint that takes over at the address of another one continues its log.
-BOOST_AUTO_TEST_CASE(Replica_AddressTakenOver_IsReplacedInRecord)
+// Guards against a run that is forgotten because a later one, or another endpoint at its address, is registered: that
+// one may have started without the log.
+BOOST_AUTO_TEST_CASE(Replica_StartsAgain_EarlierRunsAreRecordedUntilLogIsReceived)
 {
+    const EndpointId d("d");
+    for (const EndpointId& successor : { b, d }) {
+        RecorderFixture fixture;
+        fixture.registry(fixture.all);
+        const std::map<EndpointId, std::string> next { { a, "1" }, { successor, "2" }, { c, "3" } };
+        for (const uint64_t start : { 2, 3 }) {
+            fixture.starts[successor] = start;
+            fixture.registry(next);
+        }
+        BOOST_TEST(fixture.recorded().size() == 5U);
+        fixture.handle(ReplicaStatusesReceived { { stock, 0, {} } }); // to the query that the first start had caused
+        fixture.answerQuery({ { a, status(60, EndpointRole::Primary) }, { successor, status(0) }, { c, status(59) } });
+        fixture.fireTimer();
+        BOOST_TEST(fixture.recorded().size() == 5U);
+        fixture.answerQuery({ { a, status(70, EndpointRole::Primary) }, { successor, status(60) }, { c, status(59) } });
+        BOOST_TEST(
+            (fixture.recorded() == std::vector<EndpointId> { a, successor == b ? b : c, successor == b ? c : d }));
+    }
+}
+
+// A row that an older version of the program has written tells no runs apart; it reads a newer row by endpoint.
+BOOST_AUTO_TEST_CASE(Row_WrittenByOlderVersion_IsCompleted)
+{
+    this->row.value = R"({"members":{"a":"1","b":"2","c":"3"},"primary":"a"})";
     this->registry(this->all);
-    this->registry({ { a, "1" }, { EndpointId("d"), "2" }, { c, "3" } });
-    BOOST_TEST((this->recorded() == std::vector<EndpointId> { a, c, EndpointId("d") }));
+    BOOST_TEST((this->recorded() == std::vector<EndpointId> { a, b, c }));
+    BOOST_TEST(GroupRecord::parse(this->row).members.count({ b, 1 }) == 1U);
+    BOOST_TEST(this->row.value.find(R"("members":{"a":"1","b":"2","c":"3"})") != std::string::npos);
 }
 
 // Guards against a record that a restore of the table has reset to a time before a replica joined.
