Keep unregistered replicas in the record until they have ended

Cause: once an entry had expired, the position of the primary was taken for a bound of that replica's log. It bounds the log of a run that has ended.

Change: ReplicaRecorder drops a run only once nothing listens at its address, a successor is registered, or it has been silent for 2 minutes. Recorded replicas that are not registered are asked, paused and resumed over connections of their own (EndpointProbe). If one holds more than the best registered endpoint, the promotion waits for its entry.

--- a/src/Fleet/EntryDaemon.cpp
+++ b/src/Fleet/EntryDaemon.cpp
@@ -285,10 +285,12 @@
         const QueryEndpointStatuses& effect, std::function<void(EndpointStatusesReceived)> callback) override
     {
         asio::post(this->trafficContext, [this, effect, callback = std::move(callback)] {
-            this->service.inspect(effect.group, effect.endpoints,
-                makeProxyStatement(kindOf(effect.command), effect.term), [this, effect, callback](auto statuses) {
-                    this->postToControl(
-                        callback, EndpointStatusesReceived { effect.group, effect.attempt, std::move(statuses) });
+            this->service.inspect(effect.group,
+                { effect.endpoints, effect.unregistered, makeProxyStatement(kindOf(effect.command), effect.term) },
+                [this, effect, callback](Inspection found) {
+                    this->postToControl(callback,
+                        EndpointStatusesReceived {
+                            effect.group, effect.attempt, std::move(found.statuses), std::move(found.refused) });
                 });
         });
     }
@@ -325,12 +327,12 @@
     void stepDown(const StepDownPrimary& effect, std::function<void(StepDownAnswered)> callback) override
     {
         asio::post(this->trafficContext, [this, effect, callback = std::move(callback)] {
-            this->service.inspect(effect.group, { effect.endpoint },
-                makeProxyStatement(StatementKind::StepDown, effect.term),
-                [this, effect, callback](const auto& statuses) {
+            this->service.inspect(effect.group,
+                { { effect.endpoint }, {}, makeProxyStatement(StatementKind::StepDown, effect.term) },
+                [this, effect, callback](const Inspection& found) {
                     StepDownAnswered answered { effect.group, effect.attempt, std::nullopt };
-                    if (!statuses.empty())
-                        answered.status = statuses.begin()->second;
+                    if (!found.statuses.empty())
+                        answered.status = found.statuses.begin()->second;
                     this->postToControl(callback, answered);
                 });
         });
--- a/src/Promotion/PromotionCoordinator.cpp
+++ b/src/Promotion/PromotionCoordinator.cpp
@@ -517,15 +517,33 @@
         if (!leaving && !gone)
             endpoints.push_back(id);
     }
-    return { QueryEndpointStatuses { group.name, group.attempt, std::move(endpoints) } };
+    QueryEndpointStatuses query { group.name, group.attempt, std::move(endpoints) };
+    query.unregistered = unregisteredHolders(group);
+    return { std::move(query) };
+}
+
+// An endpoint whose entry has expired may go on receiving.
+std::map<EndpointId, std::string> PromotionCoordinator::unregisteredHolders(const Group& group)
+{
+    SuccessionQuestion question;
+    question.members = successionMembers(group);
+    question.oldPrimary = currentPrimary(group);
+    return group.succession.unregisteredHolders(question);
+}
+
+std::map<EndpointId, SuccessionMember> PromotionCoordinator::successionMembers(const Group& group)
+{
+    std::map<EndpointId, SuccessionMember> members;
+    for (const auto& [id, member] : group.members)
+        members.emplace(id, SuccessionMember { member.isEvacuated, member.startedAt, member.address });
+    return members;
 }
 
 SuccessionQuestion PromotionCoordinator::makeQuestion(
     const Group& group, const std::map<EndpointId, EndpointStatus>& statuses, Instant now) const
 {
     SuccessionQuestion question;
-    for (const auto& [id, member] : group.members)
-        question.members.emplace(id, SuccessionMember { member.isEvacuated, member.startedAt, member.address });
+    question.members = successionMembers(group);
     question.oldPrimary = group.oldPrimary;
     question.statuses = statuses;
     question.barrier = group.barrier;
@@ -593,12 +611,12 @@
     group.replicasPaused = true;
     std::vector<EndpointId> replicas;
     for (const auto& [id, status] : question.statuses) {
-        if (id != group.oldPrimary)
+        if (id != group.oldPrimary && question.members.count(id))
             replicas.push_back(id);
     }
     return { LogPromotionStep { group.name, "replicas_paused", "term " + std::to_string(group.pauseTerm) },
-        QueryEndpointStatuses {
-            group.name, group.attempt, std::move(replicas), ReplicationCommand::Pause, group.pauseTerm } };
+        QueryEndpointStatuses { group.name, group.attempt, std::move(replicas), ReplicationCommand::Pause,
+            group.pauseTerm, unregisteredHolders(group) } };
 }
 
 std::vector<PromotionEffect> PromotionCoordinator::resumeReplicas(Group& group)
@@ -610,7 +628,8 @@
             replicas.push_back(id);
     }
     // Nothing depends on the answers: replicas that stay paused are found by the recorder of the group's replicas.
-    return { QueryEndpointStatuses { group.name, 0, std::move(replicas), ReplicationCommand::Resume, 0 } };
+    return { QueryEndpointStatuses {
+        group.name, 0, std::move(replicas), ReplicationCommand::Resume, 0, unregisteredHolders(group) } };
 }
 
 // What an endpoint does not confirm, it has not done. Instead, the VMs confirm that they do not use the primary.
--- a/src/Promotion/PromotionCoordinator.h
+++ b/src/Promotion/PromotionCoordinator.h
@@ -186,6 +186,8 @@
     bool requiresRevocation(const Group&) const;
     bool canRestorePrimary(const Group&) const;
     static const EndpointId& currentPrimary(const Group&);
+    static std::map<EndpointId, SuccessionMember> successionMembers(const Group&);
+    static std::map<EndpointId, std::string> unregisteredHolders(const Group&);
     EndpointId endpointToRevoke(const Group&) const;
     PrimaryRevocation revocationOf(const Group&) const;
     Effects waitForOtherVm(Group&, Instant now);
--- a/src/Promotion/PromotionMessages.h
+++ b/src/Promotion/PromotionMessages.h
@@ -13,6 +13,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <variant>
 #include <vector>
@@ -89,6 +90,7 @@
     GroupId group;
     uint64_t attempt = 0;
     std::map<EndpointId, EndpointStatus> statuses; ///< contains only endpoints that answered
+    std::set<EndpointId> refused {}; ///< of those that are not registered: nothing listens at their addresses
 };
 
 /// Result of StepDownPrimary.
@@ -184,6 +186,7 @@
     std::vector<EndpointId> endpoints;
     ReplicationCommand command = ReplicationCommand::None;
     uint64_t term = 0; ///< of a pause
+    std::map<EndpointId, std::string> unregistered {}; ///< further endpoints, by their addresses ("IP:port")
 };
 
 /// Asks a primary to become a replica in the given term.
--- a/src/Promotion/ReplicaRecorder.cpp
+++ b/src/Promotion/ReplicaRecorder.cpp
@@ -24,7 +24,7 @@
     else if (const auto* record = std::get_if<GroupRecordAnswered>(&event))
         this->handleRecord(*record, now);
     else if (const auto* statuses = std::get_if<ReplicaStatusesReceived>(&event))
-        effects = this->handleStatuses(statuses->answered);
+        effects = this->handleStatuses(statuses->answered, now);
     else if (std::holds_alternative<TableRestored>(event))
         this->handleTableRestore();
     for (auto& [name, group] : this->groups) {
@@ -103,8 +103,11 @@
     group.nextCall = std::max(group.nextCall, now + this->startDelay(group));
     group.nextQuery = now + this->startDelay(group);
     for (const auto& [id, member] : group.members) {
-        group.bounds.erase({ id, member.startedAt });
-        group.covered.erase({ id, member.startedAt });
+        const EndpointRun run { id, member.startedAt };
+        group.silentSince.erase(run);
+        group.ended.erase(run);
+        group.bounds.erase(run);
+        group.covered.erase(run);
     }
 }
 
@@ -114,6 +117,24 @@
     return member != this->members.end() && run.matches({ run.endpoint, member->second.startedAt });
 }
 
+bool ReplicaRecorder::Group::hasEnded(const EndpointRun& run, const std::string& address) const
+{
+    const bool isReplaced = std::any_of(this->members.begin(), this->members.end(),
+        [&](const auto& member) { return member.first == run.endpoint || member.second.address == address; });
+    return isReplaced || this->ended.count(run);
+}
+
+// Endpoints that are recorded, not registered, and may receive commits. An earlier run of such an endpoint cannot.
+std::map<EndpointId, std::string> ReplicaRecorder::Group::unregistered() const
+{
+    std::map<EndpointId, std::string> addresses;
+    for (const auto& [run, address] : absentees(*this)) {
+        if (!this->hasEnded(run, address))
+            addresses[run.endpoint] = address;
+    }
+    return addresses;
+}
+
 // Runs that are recorded but not registered.
 std::map<EndpointRun, std::string> ReplicaRecorder::absentees(const Group& group)
 {
@@ -169,7 +190,31 @@
     }
 }
 
-std::vector<RecorderEffect> ReplicaRecorder::handleStatuses(const EndpointStatusesReceived& event)
+// What the primary has in the same round of answers does not bound the log of a run that ended before its end was seen,
+// but what it has in the next one does.
+std::vector<RecorderEffect> ReplicaRecorder::findEnded(
+    Group& group, const EndpointStatusesReceived& event, Instant now) const
+{
+    Effects effects;
+    for (const auto& [run, address] : absentees(group)) {
+        if (group.hasEnded(run, address))
+            continue;
+        if (event.statuses.count(run.endpoint)) {
+            group.silentSince.erase(run);
+            continue;
+        }
+        const Instant since = group.silentSince.emplace(run, now).first->second;
+        const bool isRefused = event.refused.count(run.endpoint) > 0;
+        if (!isRefused && now < since + this->settings.silenceLimit)
+            continue;
+        group.ended.insert(run);
+        effects.emplace_back(LogPromotionStep { group.name, "replica_ended",
+            describe(run) + (isRefused ? ": nothing listens at its address" : ": no answer for a long time") });
+    }
+    return effects;
+}
+
+std::vector<RecorderEffect> ReplicaRecorder::handleStatuses(const EndpointStatusesReceived& event, Instant now)
 {
     const auto found = this->groups.find(event.group);
     if (found == this->groups.end())
@@ -184,19 +229,26 @@
     const bool leads = leader != event.statuses.end() && leader->second.role == EndpointRole::Primary;
     const auto unconfirmed = leads ? absentees(group) : std::map<EndpointRun, std::string>();
     for (const auto& [absent, address] : unconfirmed) {
+        if (!group.hasEnded(absent, address))
+            continue;
         const LogPosition bound = group.bounds.emplace(absent, leader->second.received).first->second;
-        const auto holding = std::count_if(event.statuses.begin(), event.statuses.end(),
-            [&](const auto& answered) { return answered.first != primary && answered.second.received >= bound; });
+        const auto holding = std::count_if(event.statuses.begin(), event.statuses.end(), [&](const auto& answered) {
+            return answered.first != primary && group.members.count(answered.first)
+                && answered.second.received >= bound;
+        });
         if (static_cast<uint32_t>(holding) >= group.synchronousReplicas)
             group.covered.insert(absent);
     }
     if (group.covered != coveredBefore && !group.callInProgress)
         group.record.reset();
+    Effects effects = this->findEnded(group, event, now);
     const bool isPaused = std::any_of(event.statuses.begin(), event.statuses.end(),
         [](const auto& answered) { return answered.second.heldTerm > 0; });
-    if (!isPaused)
-        return {};
-    return { LogPromotionStep { group.name, "paused_replicas_found", {} }, PausedReplicasFound { group.name } };
+    if (isPaused) {
+        effects.emplace_back(LogPromotionStep { group.name, "paused_replicas_found", {} });
+        effects.emplace_back(PausedReplicasFound { group.name });
+    }
+    return effects;
 }
 
 std::vector<RecorderEffect> ReplicaRecorder::advance(Group& group, Instant now) const
@@ -214,7 +266,7 @@
             wanted.generation = group.generation;
             std::string names;
             for (const auto& [run, address] : wanted.members)
-                names += (names.empty() ? "" : " ") + describe(run);
+                names.append(names.empty() ? "" : " ").append(describe(run));
             effects.emplace_back(LogPromotionStep { group.name, "replicas_recorded", std::move(names) });
             effects.emplace_back(
                 WriteGroupRecord { group.name, wanted.replaceRow(key, group.revision, group.generation) });
@@ -225,13 +277,15 @@
     if (group.queryInProgress || (!mustConfirm && now < group.nextPauseCheck))
         return effects;
     group.queryInProgress = true;
-    group.nextQuery = now + this->settings.confirmInterval;
+    QueryEndpointStatuses query { group.name, ++group.query, {} };
+    query.unregistered = group.unregistered();
+    const bool awaitsOnlyEnds = query.unregistered.size() == absentees(group).size();
+    group.nextQuery = now + (awaitsOnlyEnds ? this->settings.probeInterval : this->settings.confirmInterval);
     if (now >= group.nextPauseCheck)
         group.nextPauseCheck = now + this->settings.pauseCheckInterval;
-    std::vector<EndpointId> endpoints;
     for (const auto& [id, member] : group.members)
-        endpoints.push_back(id);
-    effects.emplace_back(QueryEndpointStatuses { group.name, ++group.query, std::move(endpoints) });
+        query.endpoints.push_back(id);
+    effects.emplace_back(std::move(query));
     return effects;
 }
 
--- a/src/Promotion/ReplicaRecorder.h
+++ b/src/Promotion/ReplicaRecorder.h
@@ -18,8 +18,12 @@
     /// Number of VMs that keep the record of a group. Those after the first one act later.
     size_t recorders = 3;
     Duration delayPerRank = std::chrono::seconds(2);
-    /// Interval at which replicas are queried while one that has left may hold commits that the others lack.
+    /// Interval at which replicas are queried while one that has ended may hold commits that the others lack.
     Duration confirmInterval = std::chrono::milliseconds(200);
+    /// Interval at which replicas are queried that are not registered and may not have ended.
+    Duration probeInterval = std::chrono::seconds(1);
+    /// A replica that is not registered and has not answered for this long is taken for ended.
+    Duration silenceLimit = std::chrono::minutes(2);
     /// Interval at which replicas are checked for a pause that nobody ends.
     Duration pauseCheckInterval = std::chrono::seconds(5);
     /// Delay before a failed call to the table is repeated.
@@ -64,11 +68,16 @@
     PausedReplicasFound, LogPromotionStep>;
 
 /// Keeps the record of the runs of endpoints that may hold acknowledged commits, for each group with synchronous
-/// replication. A run that is not registered any more stays in the record until enough endpoints have received all that
-/// the primary had when it was gone. A later run of the endpoint, or another endpoint at its address, is one of these,
-/// because it may have started without the log. A few VMs keep the record of each group. They also look for replicas
-/// that stay paused because the VM that paused them has ended. The class is a pure state machine: it reads no clock and
-/// does no I/O.
+/// replication. A run that is not registered any more stays in the record until it has ended and enough endpoints have
+/// received all that the primary had then:
+///
+/// - An endpoint whose entry has expired may go on receiving. It has ended if nothing listens at its address, if a
+///   later run of it or another endpoint at its address is registered, or if it has been silent for long.
+/// - A later run, or another endpoint at the address, must receive the log like all others, because it may have started
+///   without it.
+///
+/// A few VMs keep the record of each group. They also look for replicas that stay paused because the VM that paused
+/// them has ended. The class is a pure state machine: it reads no clock and does no I/O.
 class ReplicaRecorder {
 public:
     ReplicaRecorder(VmId self, ReplicaRecorderSettings);
@@ -102,20 +111,25 @@
         Instant nextCall {}; ///< the table is not called before
         Instant nextQuery {};
         Instant nextPauseCheck {};
-        /// Position of the primary after a run was gone, an upper bound of that run's log.
+        std::map<EndpointRun, Instant> silentSince; ///< runs that are not registered and do not answer
+        std::set<EndpointRun> ended; ///< runs that are not registered and have been found to have ended
+        /// Position of the primary after a run had ended, an upper bound of that run's log.
         std::map<EndpointRun, LogPosition> bounds;
-        std::set<EndpointRun> covered; ///< runs that are gone and held nothing that the others lack
+        std::set<EndpointRun> covered; ///< runs that have ended and held nothing that the others lack
         std::map<EndpointRun, std::string> lostMembers; ///< recorded before the table was restored from an older copy
 
         EndpointId primary() const;
         bool isRegistered(const EndpointRun&) const;
+        bool hasEnded(const EndpointRun&, const std::string& address) const;
+        std::map<EndpointId, std::string> unregistered() const;
     };
 
     void handleRegistryUpdate(const RegistryUpdated&, Instant now);
     void updateMembers(Group&, std::map<EndpointId, Member>, Instant now) const;
     void handleVms(const VmsChanged&);
     void handleRecord(const GroupRecordAnswered&, Instant now);
-    Effects handleStatuses(const EndpointStatusesReceived&);
+    Effects handleStatuses(const EndpointStatusesReceived&, Instant now);
+    Effects findEnded(Group&, const EndpointStatusesReceived&, Instant now) const;
     void handleTableRestore();
     Effects advance(Group&, Instant now) const;
     static GroupRecord makeRecord(const Group&);
--- a/src/Promotion/Succession.cpp
+++ b/src/Promotion/Succession.cpp
@@ -85,19 +85,47 @@
     return holders;
 }
 
+std::map<EndpointId, std::string> Succession::unregisteredHolders(const SuccessionQuestion& question) const
+{
+    std::map<EndpointId, std::string> addresses;
+    if (!this->synchronousReplicas)
+        return addresses;
+    for (const EndpointRun& run : this->possibleHolders(question)) {
+        const auto recorded = this->record.members.find(run);
+        const bool isUnregistered = !question.members.count(run.endpoint) && recorded != this->record.members.end();
+        if (isUnregistered && !recorded->second.empty())
+            addresses[run.endpoint] = recorded->second;
+    }
+    return addresses;
+}
+
+// An endpoint that is not registered answers for its newest run.
+bool Succession::isPresentRun(const EndpointRun& run, const SuccessionQuestion& question) const
+{
+    if (const auto member = question.members.find(run.endpoint); member != question.members.end())
+        return run.matches({ run.endpoint, member->second.startedAt });
+    const auto next = this->record.members.upper_bound(run);
+    return next == this->record.members.end() || next->first.endpoint != run.endpoint;
+}
+
 // Returns what the run has answered; null if it did not, or if the answer may be that of a later run. One that knows no
 // term has received nothing since it started, and may have started after the registry was read.
 const EndpointStatus* Succession::answerOf(const EndpointRun& run, const SuccessionQuestion& question) const
 {
     const auto status = question.statuses.find(run.endpoint);
-    const auto member = question.members.find(run.endpoint);
-    if (status == question.statuses.end() || member == question.members.end()
-        || !run.matches({ run.endpoint, member->second.startedAt }))
+    if (status == question.statuses.end() || !this->isPresentRun(run, question))
         return nullptr;
     const bool mayHaveRestarted = !status->second.term && this->newestTerm(question) && !question.acceptsOutdated;
     return mayHaveRestarted ? nullptr : &status->second;
 }
 
+// With synchronous replication, endpoints are asked that are not registered.
+bool Succession::mayBePromoted(const EndpointId& id, const SuccessionQuestion& question) const
+{
+    const auto member = question.members.find(id);
+    return member == question.members.end() ? !this->synchronousReplicas : !member->second.isEvacuated;
+}
+
 // Returns the endpoint with the highest log position. A promotion discards all commits that the promoted one lacks.
 static EndpointId mostAdvanced(const std::map<EndpointId, EndpointStatus>& statuses)
 {
@@ -113,10 +141,7 @@
 {
     std::map<EndpointId, EndpointStatus> candidates = question.statuses;
     candidates.erase(question.oldPrimary);
-    std::erase_if(candidates, [&question](const auto& candidate) {
-        const auto member = question.members.find(candidate.first);
-        return member != question.members.end() && member->second.isEvacuated;
-    });
+    std::erase_if(candidates, [&](const auto& candidate) { return !this->mayBePromoted(candidate.first, question); });
     const uint64_t newest = this->newestTerm(question);
     const size_t outdated = question.acceptsOutdated
         ? 0
@@ -142,7 +167,7 @@
         const EndpointStatus* status = this->answerOf(holder, question);
         if (!status) {
             ++missing;
-            names += " " + describe(holder);
+            names.append(" ").append(describe(holder));
         }
         notPaused += !status || status->heldTerm < question.pauseTerm;
     }
@@ -152,17 +177,17 @@
         answer.awaitsReplica = true;
         return answer;
     }
+    if (const EndpointId ahead = this->unpromotableAhead(question, best, false); !ahead.empty()) {
+        answer.reason = "only a replica that is not registered holds all acknowledged commits: " + ahead.str();
+        answer.awaitsReplica = true;
+        return answer;
+    }
     const bool receive = question.barrier == CommitBarrier::ReplicasPaused && notPaused >= this->synchronousReplicas;
     if (question.barrier == CommitBarrier::None || receive) {
         answer.action = Action::StopCommits;
         return answer;
     }
-    const LogPosition& position = question.statuses.at(best).received;
-    for (const auto& [id, member] : question.members) {
-        const auto status = question.statuses.find(id);
-        if (!member.isEvacuated || id == question.oldPrimary || status == question.statuses.end()
-            || status->second.received <= position)
-            continue;
+    if (!this->unpromotableAhead(question, best, true).empty()) {
         answer.reason = "only a replica in an evacuated data centre holds all commits that may be acknowledged";
         return answer;
     }
@@ -170,4 +195,17 @@
     return answer;
 }
 
+// Returns an endpoint, registered or not, that holds more than `best` and may not be promoted; empty if there is none.
+EndpointId Succession::unpromotableAhead(
+    const SuccessionQuestion& question, const EndpointId& best, bool isRegistered) const
+{
+    const LogPosition& position = question.statuses.at(best).received;
+    for (const auto& [id, status] : question.statuses) {
+        if (id != question.oldPrimary && (question.members.count(id) > 0) == isRegistered && status.received > position
+            && !this->mayBePromoted(id, question))
+            return id;
+    }
+    return {};
+}
+
 } // namespace Lavendervane
--- a/src/Promotion/Succession.h
+++ b/src/Promotion/Succession.h
@@ -29,7 +29,7 @@
 struct SuccessionQuestion {
     std::map<EndpointId, SuccessionMember> members;
     EndpointId oldPrimary; ///< empty if it is unknown
-    std::map<EndpointId, EndpointStatus> statuses; ///< answers of this attempt
+    std::map<EndpointId, EndpointStatus> statuses; ///< answers of this attempt, also of recorded endpoints
     CommitBarrier barrier = CommitBarrier::None;
     uint64_t pauseTerm = 0; ///< term of the pause if the barrier is ReplicasPaused
     EndpointId orderedBefore; ///< endpoint that an unanswered order may still promote; preferred if it answered
@@ -76,6 +76,10 @@
 
     SuccessionAnswer decide(const SuccessionQuestion&) const;
 
+    /// Returns the addresses of recorded endpoints that are not registered and may hold acknowledged commits. Their
+    /// status belongs to the question.
+    std::map<EndpointId, std::string> unregisteredHolders(const SuccessionQuestion&) const;
+
     /// Returns the term that the next primary is expected to lead.
     uint64_t nextTerm(const SuccessionQuestion&) const;
 
@@ -87,6 +91,9 @@
     bool isLeadershipRefuted(const SuccessionQuestion&) const;
     EndpointId oldPrimary(const SuccessionQuestion&) const;
     std::set<EndpointRun> possibleHolders(const SuccessionQuestion&) const;
+    bool isPresentRun(const EndpointRun&, const SuccessionQuestion&) const;
+    bool mayBePromoted(const EndpointId&, const SuccessionQuestion&) const;
+    EndpointId unpromotableAhead(const SuccessionQuestion&, const EndpointId& best, bool isRegistered) const;
     const EndpointStatus* answerOf(const EndpointRun&, const SuccessionQuestion&) const;
     SuccessionAnswer requireAcknowledgedCommits(const SuccessionQuestion&, const EndpointId& best) const;
 
--- a/src/Statements/GroupInspector.cpp
+++ b/src/Statements/GroupInspector.cpp
@@ -1,5 +1,8 @@
 #include "Statements/GroupInspector.h"
 
+#include "Statements/EndpointProbe.h"
+
+#include <optional>
 #include <utility>
 
 namespace Lavendervane {
@@ -24,29 +27,41 @@
     });
 }
 
-void inspectEndpoints(GroupTraffic& group, const std::vector<EndpointId>& endpoints, const Statement& statement,
-    const OrganisationId& organisation, Instant deadline, const StatusesCallback& callback)
+void inspectEndpoints(GroupTraffic& group, EndpointConnector& connector, Timers& timers,
+    const InspectionRequest& request, const OrganisationId& organisation, Instant deadline,
+    const InspectionCallback& callback)
 {
     struct Collection {
-        std::map<EndpointId, EndpointStatus> statuses;
+        Inspection result;
         size_t outstanding = 0;
     };
     auto collection = std::make_shared<Collection>();
-    collection->outstanding = endpoints.size() + 1;
+    collection->outstanding = request.endpoints.size() + request.unregistered.size() + 1;
     const auto finishOne = [collection, callback] {
         if (!--collection->outstanding)
-            callback(std::move(collection->statuses));
+            callback(std::move(collection->result));
     };
-    for (const EndpointId& endpoint : endpoints) {
+    for (const auto& [endpoint, address] : request.unregistered) {
+        const LinkTarget target { group.id(), endpoint, address, organisation };
+        probeEndpoint(connector, timers, target, request.statement, deadline,
+            [collection, id = endpoint, finishOne](const EndpointProbeResult& probed) {
+                if (probed.status)
+                    collection->result.statuses.emplace(id, *probed.status);
+                if (probed.isRefused)
+                    collection->result.refused.insert(id);
+                finishOne();
+            });
+    }
+    for (const EndpointId& endpoint : request.endpoints) {
         const auto pool = group.findPool(endpoint);
         if (!pool) {
             finishOne();
             continue;
         }
-        queryStatus(*pool, statement, organisation, deadline,
+        queryStatus(*pool, request.statement, organisation, deadline,
             [collection, endpoint, finishOne](std::optional<EndpointStatus> status) {
                 if (status)
-                    collection->statuses.emplace(endpoint, *status);
+                    collection->result.statuses.emplace(endpoint, *status);
                 finishOne();
             });
     }
--- a/src/Statements/GroupInspector.h
+++ b/src/Statements/GroupInspector.h
@@ -4,16 +4,28 @@
 
 #include <functional>
 #include <map>
-#include <optional>
+#include <set>
+#include <string>
 #include <vector>
 
 namespace Lavendervane {
 
-using StatusesCallback = std::function<void(std::map<EndpointId, EndpointStatus>)>;
+/// Endpoints of a group to which a statement is sent that returns the status (see `returnsStatus`).
+struct InspectionRequest {
+    std::vector<EndpointId> endpoints; ///< registered; asked over pooled connections
+    std::map<EndpointId, std::string> unregistered; ///< addresses ("IP:port"); asked over connections of their own
+    Statement statement;
+};
 
-/// Sends a statement that returns the status (see `returnsStatus`) to endpoints over pooled connections. Endpoints that
-/// do not report their status by `deadline` are missing from the result. The callback is called once.
-void inspectEndpoints(GroupTraffic&, const std::vector<EndpointId>&, const Statement&, const OrganisationId&,
-    Instant deadline, const StatusesCallback&);
+struct Inspection {
+    std::map<EndpointId, EndpointStatus> statuses; ///< of the endpoints that reported it in time
+    std::set<EndpointId> refused; ///< unregistered endpoints that do not listen at their addresses
+};
+
+using InspectionCallback = std::function<void(Inspection)>;
+
+/// Inspects endpoints until `deadline`. The callback is called once.
+void inspectEndpoints(GroupTraffic&, EndpointConnector&, Timers&, const InspectionRequest&, const OrganisationId&,
+    Instant deadline, const InspectionCallback&);
 
 } // namespace Lavendervane
--- a/src/Statements/StatementService.cpp
+++ b/src/Statements/StatementService.cpp
@@ -329,15 +329,15 @@
     return organisations.empty() ? OrganisationId() : organisations.front().name;
 }
 
-void StatementService::inspect(const GroupId& name, const std::vector<EndpointId>& endpoints,
-    const Statement& statement, const StatusesCallback& callback)
+void StatementService::inspect(
+    const GroupId& name, const InspectionRequest& request, const InspectionCallback& callback)
 {
     GroupTraffic* group = this->findGroup(name);
     if (!group) {
         callback({});
         return;
     }
-    inspectEndpoints(*group, endpoints, statement, this->anyOrganisation(),
+    inspectEndpoints(*group, this->connector, this->clock, request, this->anyOrganisation(),
         this->clock.now() + this->options.inspectionTimeout, callback);
 }
 
--- a/src/Statements/StatementService.h
+++ b/src/Statements/StatementService.h
@@ -120,8 +120,8 @@
 
     void setPeers(const std::vector<FleetMember>&);
 
-    /// Sends a statement that returns the status (see `returnsStatus`) to endpoints of a group.
-    void inspect(const GroupId&, const std::vector<EndpointId>&, const Statement&, const StatusesCallback&);
+    /// Asks endpoints of a group for their status. The group must have a registered endpoint; otherwise none is asked.
+    void inspect(const GroupId&, const InspectionRequest&, const InspectionCallback&);
 
     /// Asks other VMs whether they reach the endpoint.
     void pollReachability(const GroupId&, const EndpointId&, ReachabilityPoll::Callback);
--- a/tests/Promotion/PromotionCoordinatorTest.cpp
+++ b/tests/Promotion/PromotionCoordinatorTest.cpp
@@ -338,6 +338,33 @@
     BOOST_TEST(this->find<ReportBlockedPromotion>()->blocked);
 }
 
+// Guards against a promotion that loses what only a replica holds whose entry has expired, although it goes on
+// receiving, and against one that waits for a replica that holds nothing more than the others.
+BOOST_AUTO_TEST_CASE(Primary_UnregisteredReplicaAnswers_IsAwaitedIfItHoldsMore)
+{
+    const EndpointId d("d");
+    const std::map<EndpointId, std::string> addresses { { d, "10.0.0.4:1" } };
+    this->leaseRow = R"({"runs":[["a",0,""],["b",0,""],["c",0,""],["d",5,"10.0.0.4:1"]],"primary":"a"})";
+    this->synchronousReplicas = 1;
+    this->registry(EndpointRole::Primary, EndpointRole::Replica);
+    uint64_t attempt = this->advanceToStatusQuery();
+    BOOST_REQUIRE(this->find<QueryEndpointStatuses>());
+    BOOST_TEST((this->find<QueryEndpointStatuses>()->unregistered == addresses));
+    this->handle(
+        EndpointStatusesReceived { stock, attempt, { { b, status(50) }, { c, status(51) }, { d, status(52) } } });
+    BOOST_TEST(!this->find<QueryEndpointStatuses>());
+    BOOST_REQUIRE(this->find<ReportBlockedPromotion>());
+    attempt = this->advanceToStatusQuery();
+    this->handle(
+        EndpointStatusesReceived { stock, attempt, { { b, status(50) }, { c, status(52) }, { d, status(52) } } });
+    BOOST_REQUIRE(this->find<QueryEndpointStatuses>());
+    BOOST_TEST((this->find<QueryEndpointStatuses>()->unregistered == addresses));
+    this->handle(EndpointStatusesReceived {
+        stock, attempt, { { b, paused(50, 2) }, { c, paused(52, 2) }, { d, paused(52, 2) } } });
+    BOOST_REQUIRE(this->find<OrderPromotion>());
+    BOOST_TEST(this->find<OrderPromotion>()->endpoint == c);
+}
+
 // Guards against an endpoint of an earlier term that leads again after all VMs have restarted.
 BOOST_AUTO_TEST_CASE(Replica_MissedRecordedTerm_IsNotPromotedWhileAnotherMayAnswer)
 {
--- a/tests/Promotion/ReplicaRecorderTest.cpp
+++ b/tests/Promotion/ReplicaRecorderTest.cpp
@@ -4,6 +4,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -83,10 +84,19 @@
         return { role, 1, { { 1, {} }, position }, 0 };
     }
 
-    void answerQuery(const std::map<EndpointId, EndpointStatus>& statuses)
+    void answerQuery(const std::map<EndpointId, EndpointStatus>& statuses, const std::set<EndpointId>& refused = {})
     {
         BOOST_REQUIRE(this->query);
-        this->handle(ReplicaStatusesReceived { { stock, this->query->attempt, statuses } });
+        this->handle(ReplicaStatusesReceived { { stock, this->query->attempt, statuses, refused } });
+    }
+
+    /// Answers the query and continues until the next one.
+    void answerAndContinue(
+        const std::map<EndpointId, EndpointStatus>& statuses, const std::set<EndpointId>& refused = {})
+    {
+        this->answerQuery(statuses, refused);
+        if (!this->query)
+            this->fireTimer();
     }
 
     std::vector<EndpointId> recorded() const
@@ -121,20 +131,36 @@
     BOOST_TEST((this->timer == Instant {}));
 }
 
-// Guards against a replica that is forgotten although only it holds an acknowledged commit, and against one that holds
-// up promotions although the others have received all that it can hold.
-BOOST_AUTO_TEST_CASE(Replica_Gone_IsRecordedUntilOthersHoldAllThatItCanHold)
+// Guards against a replica that is forgotten although only it holds an acknowledged commit, also because it goes on
+// receiving without an entry in the registry, and against one that holds up promotions although it has ended and the
+// others have received all that it can hold.
+BOOST_AUTO_TEST_CASE(Replica_Gone_IsRecordedUntilItHasEndedAndOthersHoldItsLog)
 {
-    this->registry(this->all);
-    BOOST_TEST((this->recorded() == std::vector<EndpointId> { a, b, c }));
-    this->registry({ { a, "1" }, { c, "3" } });
-    this->answerQuery({ { a, status(60, EndpointRole::Primary) }, { c, status(58) } });
-    this->fireTimer();
-    BOOST_TEST((this->recorded() == std::vector<EndpointId> { a, b, c }));
-    this->answerQuery({ { a, status(70, EndpointRole::Primary) }, { c, status(60) } });
-    BOOST_TEST((this->recorded() == std::vector<EndpointId> { a, c }));
-    BOOST_TEST(GroupRecord::parse(this->row).primary == a);
-    BOOST_TEST(this->writes == 2U);
+    for (const bool isRefused : { true, false }) {
+        RecorderFixture fixture;
+        const EndpointStatus primary = status(60, EndpointRole::Primary);
+        fixture.registry(fixture.all);
+        BOOST_TEST((fixture.recorded() == std::vector<EndpointId> { a, b, c }));
+        fixture.registry({ { a, "1" }, { c, "3" } });
+        fixture.answerAndContinue({ { a, primary }, { b, status(60) }, { c, status(60) } });
+        BOOST_REQUIRE(fixture.query);
+        BOOST_TEST((fixture.query->unregistered == std::map<EndpointId, std::string> { { b, "2" } }));
+        fixture.answerAndContinue(
+            { { a, primary }, { c, status(60) } }, isRefused ? std::set { b } : std::set<EndpointId> {});
+        if (!isRefused) {
+            fixture.now += 110s;
+            fixture.answerAndContinue({ { a, primary }, { c, status(60) } });
+            BOOST_TEST((fixture.recorded() == std::vector<EndpointId> { a, b, c }));
+            fixture.now += 10s;
+            fixture.answerAndContinue({ { a, primary }, { c, status(60) } });
+        }
+        fixture.answerAndContinue({ { a, status(70, EndpointRole::Primary) }, { c, status(69) } });
+        BOOST_TEST((fixture.recorded() == std::vector<EndpointId> { a, b, c }));
+        fixture.answerAndContinue({ { a, status(80, EndpointRole::Primary) }, { c, status(70) } });
+        BOOST_TEST((fixture.recorded() == std::vector<EndpointId> { a, c }));
+        BOOST_TEST(GroupRecord::parse(fixture.row).primary == a);
+        BOOST_TEST(fixture.writes == 2U);
+    }
 }
 
 // Guards against a bound from before the replica was gone: it may have received more.
@@ -177,10 +203,11 @@
         }
         BOOST_TEST(fixture.recorded().size() == 5U);
         fixture.handle(ReplicaStatusesReceived { { stock, 0, {} } }); // to the query that the first start had caused
-        fixture.answerQuery({ { a, status(60, EndpointRole::Primary) }, { successor, status(0) }, { c, status(59) } });
-        fixture.fireTimer();
+        fixture.answerAndContinue(
+            { { a, status(60, EndpointRole::Primary) }, { successor, status(0) }, { c, status(59) } });
         BOOST_TEST(fixture.recorded().size() == 5U);
-        fixture.answerQuery({ { a, status(70, EndpointRole::Primary) }, { successor, status(60) }, { c, status(59) } });
+        fixture.answerAndContinue(
+            { { a, status(70, EndpointRole::Primary) }, { successor, status(60) }, { c, status(59) } });
         BOOST_TEST(
             (fixture.recorded() == std::vector<EndpointId> { a, successor == b ? b : c, successor == b ? c : d }));
     }
