--- a/src/Promotion/Succession.cpp
+++ b/src/Promotion/Succession.cpp
@@ -51,9 +51,8 @@
     return question.oldPrimary.empty() ? this->record.primary : question.oldPrimary;
 }
 
-// Runs of endpoints other than the old primary on which an acknowledged commit may be stored. An endpoint that is not
-// registered any more may come back with its log, possibly under another ID at its address. The old primary, whose log
-// is the longest, may have done so.
+// Runs on which an acknowledged commit may be stored besides the old primary. An endpoint that is not registered any
+// more may come back with its log. One at the address of the old primary is that one under another ID.
 std::set<EndpointRun> Succession::possibleHolders(const SuccessionQuestion& question) const
 {
     const EndpointId primary = this->oldPrimary(question);
