Record a replica again that had ended and runs without an entry

Callers were told of writes that were gone after a promotion: a replica that had ended started again with its log while it was cut off from the store, received, and held the only copy of them.

Cause: the recorder let a run go once it had ended and the others held its log. That bounds the run, not the endpoint, which may start again with the log and receive without an entry in the registry. Nothing brought it back into the group's record, and a promotion asked only those that the record names. A run that was taken for ended after 2 minutes of silence stayed so even if it answered again.

GroupRecord::ended keeps the newest 8 runs that have ended, with their addresses. The recorder asks them once a second and records one that accepts a connection; promotions ask them too and count those that run.

--- a/src/Fleet/EntryDaemon.cpp
+++ b/src/Fleet/EntryDaemon.cpp
@@ -290,7 +290,8 @@
                 [this, effect, callback](Inspection found) {
                     this->postToControl(callback,
                         EndpointStatusesReceived {
-                            effect.group, effect.attempt, std::move(found.statuses), std::move(found.refused) });
+                            effect.group, effect.attempt, std::move(found.statuses), std::move(found.refused),
+                            std::move(found.listening) });
                 });
         });
     }
--- a/src/Promotion/GroupRecord.cpp
+++ b/src/Promotion/GroupRecord.cpp
@@ -25,19 +25,32 @@
     return run.endpoint.str() + " (started at " + std::to_string(run.startedAt) + ")";
 }
 
+static std::map<EndpointRun, std::string> parseRuns(const Json& json)
+{
+    std::map<EndpointRun, std::string> runs;
+    for (const Json& run : json) {
+        if (run.is_array() && run.size() == 3 && run[0].is_string() && run[1].is_number_unsigned()
+            && run[2].is_string())
+            runs.emplace(EndpointRun { EndpointId(run[0].get<std::string>()), run[1].get<uint64_t>() },
+                run[2].get<std::string>());
+    }
+    return runs;
+}
+
+static Json encodeRuns(const std::map<EndpointRun, std::string>& runs)
+{
+    Json json = Json::array();
+    for (const auto& [run, address] : runs)
+        json.push_back(Json::array({ run.endpoint.str(), run.startedAt, address }));
+    return json;
+}
+
 // Older versions of the program write the addresses by endpoint only, and remove `runs` when they replace the row.
 static std::map<EndpointRun, std::string> parseMembers(const Json& json)
 {
     std::map<EndpointRun, std::string> members;
-    if (const auto runs = json.find("runs"); runs != json.end() && runs->is_array()) {
-        for (const Json& run : *runs) {
-            if (run.is_array() && run.size() == 3 && run[0].is_string() && run[1].is_number_unsigned()
-                && run[2].is_string())
-                members.emplace(EndpointRun { EndpointId(run[0].get<std::string>()), run[1].get<uint64_t>() },
-                    run[2].get<std::string>());
-        }
-        return members;
-    }
+    if (const auto runs = json.find("runs"); runs != json.end() && runs->is_array())
+        return parseRuns(*runs);
     if (const auto addresses = json.find("members"); addresses != json.end() && addresses->is_object()) {
         for (const auto& [id, address] : addresses->items()) {
             if (address.is_string())
@@ -64,6 +77,8 @@
         unsignedField(json, "promoted_start") };
     record.members = parseMembers(json);
     record.primary = EndpointId(textField(json, "primary").value_or(""));
+    if (const auto ended = json.find("ended"); ended != json.end() && ended->is_array())
+        record.ended = parseRuns(*ended);
     return record;
 }
 
@@ -82,13 +97,13 @@
     }
     if (!this->members.empty()) {
         json["members"] = Json::object();
-        json["runs"] = Json::array();
-        for (const auto& [run, address] : this->members) {
+        for (const auto& [run, address] : this->members)
             json["members"][run.endpoint.str()] = address;
-            json["runs"].push_back(Json::array({ run.endpoint.str(), run.startedAt, address }));
-        }
+        json["runs"] = encodeRuns(this->members);
         json["primary"] = this->primary.str();
     }
+    if (!this->ended.empty())
+        json["ended"] = encodeRuns(this->ended);
     return json.dump();
 }
 
--- a/src/Promotion/GroupRecord.h
+++ b/src/Promotion/GroupRecord.h
@@ -55,6 +55,10 @@
     std::map<EndpointRun, std::string> members;
     EndpointId primary; ///< the primary when `members` was written
 
+    /// Runs that have ended and held nothing that the members lack, with the addresses of their endpoints. An endpoint
+    /// may start again with its log and receive commits before it is registered.
+    std::map<EndpointRun, std::string> ended;
+
     /// Rows may be missing or written by another version of the program: what cannot be read is left empty.
     static GroupRecord parse(const TableRow&);
     std::string encode() const;
--- a/src/Promotion/PromotionCoordinator.cpp
+++ b/src/Promotion/PromotionCoordinator.cpp
@@ -571,7 +571,8 @@
     const auto old = event.statuses.find(group.oldPrimary);
     if (old != event.statuses.end() && old->second.role == EndpointRole::Replica)
         group.barrier = CommitBarrier::SteppedDown;
-    const SuccessionQuestion question = this->makeQuestion(group, event.statuses, now);
+    SuccessionQuestion question = this->makeQuestion(group, event.statuses, now);
+    question.listening = event.listening;
     const SuccessionAnswer answer = group.succession.decide(question);
     if (group.phase == Phase::CatchingUp && !answer.endpoint.empty() && group.finalPosition
         && event.statuses.at(answer.endpoint).received < *group.finalPosition && now < group.catchUpDeadline)
--- a/src/Promotion/PromotionMessages.h
+++ b/src/Promotion/PromotionMessages.h
@@ -91,6 +91,7 @@
     uint64_t attempt = 0;
     std::map<EndpointId, EndpointStatus> statuses; ///< contains only endpoints that answered
     std::set<EndpointId> refused {}; ///< of those that are not registered: nothing listens at their addresses
+    std::set<EndpointId> listening {}; ///< of those that are not registered: they accept connections
 };
 
 /// Result of StepDownPrimary.
--- a/src/Promotion/ReplicaRecorder.h
+++ b/src/Promotion/ReplicaRecorder.h
@@ -20,8 +20,11 @@
     Duration delayPerRank = std::chrono::seconds(2);
     /// Interval at which replicas are queried while one that has ended may hold commits that the others lack.
     Duration confirmInterval = std::chrono::milliseconds(200);
-    /// Interval at which replicas are queried that are not registered and may not have ended.
+    /// Interval at which replicas are queried that are not registered. One that has ended and starts again with its log
+    /// is recorded again after at most this time.
     Duration probeInterval = std::chrono::seconds(1);
+    /// Number of runs of a group that are remembered after their end, the newest ones.
+    size_t maxEndedRuns = 8;
     /// A replica that is not registered and has not answered for this long is taken for ended.
     Duration silenceLimit = std::chrono::minutes(2);
     /// Interval at which replicas are checked for a pause that nobody ends.
@@ -75,6 +78,8 @@
 ///   later run of it or another endpoint at its address is registered, or if it has been silent for long.
 /// - A later run, or another endpoint at the address, must receive the log like all others, because it may have started
 ///   without it.
+/// - One that has ended may start again with its log, and receive without an entry. It is asked at its address, and
+///   recorded again as soon as it accepts a connection.
 ///
 /// A few VMs keep the record of each group. They also look for replicas that stay paused because the VM that paused
 /// them has ended. The class is a pure state machine: it reads no clock and does no I/O.
@@ -116,12 +121,20 @@
         /// Position of the primary after a run had ended, an upper bound of that run's log.
         std::map<EndpointRun, LogPosition> bounds;
         std::set<EndpointRun> covered; ///< runs that have ended and held nothing that the others lack
-        std::map<EndpointRun, std::string> lostMembers; ///< recorded before the table was restored from an older copy
+        /// Endpoints of ended runs that have been found running, with their addresses. Their starts are not known.
+        std::map<EndpointRun, std::string> returned;
+        /// Recorded before the table was restored from an older copy; members and ended runs only.
+        GroupRecord lost;
 
         EndpointId primary() const;
         bool isRegistered(const EndpointRun&) const;
+        bool isReplaced(const EndpointRun&, const std::string& address) const;
         bool hasEnded(const EndpointRun&, const std::string& address) const;
+        std::map<EndpointRun, std::string> absentees() const;
+        std::map<EndpointRun, std::string> endedRuns() const;
         std::map<EndpointId, std::string> unregistered() const;
+        bool awaitsReplicas() const;
+        void forget(const EndpointRun&);
     };
 
     void handleRegistryUpdate(const RegistryUpdated&, Instant now);
@@ -129,11 +142,12 @@
     void handleVms(const VmsChanged&);
     void handleRecord(const GroupRecordAnswered&, Instant now);
     Effects handleStatuses(const EndpointStatusesReceived&, Instant now);
+    static Effects findReturned(Group&, const EndpointStatusesReceived&);
+    static void findCovered(Group&, const EndpointStatusesReceived&);
     Effects findEnded(Group&, const EndpointStatusesReceived&, Instant now) const;
     void handleTableRestore();
     Effects advance(Group&, Instant now) const;
-    static GroupRecord makeRecord(const Group&);
-    static std::map<EndpointRun, std::string> absentees(const Group&);
+    GroupRecord makeRecord(const Group&) const;
     Duration startDelay(const Group&) const;
     std::optional<size_t> rankOf(const GroupId&) const;
     std::optional<Instant> nextEvent() const;
--- a/src/Promotion/Succession.cpp
+++ b/src/Promotion/Succession.cpp
@@ -81,6 +81,12 @@
         if (run.endpoint != primary && !primaryAddresses.count(address) && !isKnown && !isReplaced)
             holders.insert(run);
     }
+    for (const auto& [run, address] : this->record.ended) {
+        const bool runsAgain = question.statuses.count(run.endpoint) || question.listening.count(run.endpoint);
+        const bool isRegistered = question.members.count(run.endpoint) || addresses.count(address);
+        if (runsAgain && !isRegistered && run.endpoint != primary && !primaryAddresses.count(address))
+            holders.insert({ run.endpoint, 0 });
+    }
     return holders;
 }
 
@@ -89,6 +95,10 @@
     std::map<EndpointId, std::string> addresses;
     if (!this->synchronousReplicas)
         return addresses;
+    for (const auto& [run, address] : this->record.ended) {
+        if (!question.members.count(run.endpoint) && run.endpoint != this->oldPrimary(question))
+            addresses[run.endpoint] = address;
+    }
     for (const EndpointRun& run : this->possibleHolders(question)) {
         const auto recorded = this->record.members.find(run);
         const bool isUnregistered = !question.members.count(run.endpoint) && recorded != this->record.members.end();
--- a/src/Promotion/Succession.h
+++ b/src/Promotion/Succession.h
@@ -32,6 +32,7 @@
     std::map<EndpointId, EndpointStatus> statuses; ///< answers of this attempt, also of recorded endpoints
     CommitBarrier barrier = CommitBarrier::None;
     uint64_t pauseTerm = 0; ///< term of the pause if the barrier is ReplicasPaused
+    std::set<EndpointId> listening {}; ///< endpoints that are not registered and accept connections
     EndpointId orderedBefore; ///< endpoint that an unanswered order may still promote; preferred if it answered
     /// An endpoint may be promoted that does not know the newest term, and one that knows no term may always have been
     /// without a log.
@@ -57,6 +58,7 @@
 /// - An acknowledged commit is stored on the primary and on at least `synchronousReplicas` others. The most advanced
 ///   endpoint that answered holds it if fewer than that many of the runs that may hold commits are missing. A run is
 ///   missing also if a later one of its endpoint answers: that one may hold nothing.
+/// - A run that had ended counts again as soon as it runs again, registered or not.
 /// - This stays true only behind a barrier, because the old primary may be back before its successor leads.
 ///
 /// What it must know for longer than a VM lives is in the GroupRecord.
--- a/src/Statements/EndpointProbe.cpp
+++ b/src/Statements/EndpointProbe.cpp
@@ -24,21 +24,23 @@
         this->link = connector.connect(target, *this);
     }
 
-    void linkConnected() override { }
+    void linkConnected() override { this->isConnected = true; }
     void linkOpened() override { this->link->send({ this->statement }, { this->deadline }); }
     void linkAnswered(std::vector<EndpointAnswer> answers) override
     {
-        this->finish({ answers.empty() ? std::nullopt : answers.back().status, false });
+        this->finish({ answers.empty() ? std::nullopt : answers.back().status });
     }
     void linkFailed(LinkFailure failure, AnswerCode code, const std::string&) override
     {
         const bool isOther = failure == LinkFailure::Rejected && code == AnswerCode::WrongEndpoint;
+        this->isConnected = this->isConnected && !isOther;
         this->finish({ std::nullopt, failure == LinkFailure::Refused || isOther });
     }
 
 private:
-    void finish(const EndpointProbeResult& result)
+    void finish(EndpointProbeResult result)
     {
+        result.isListening = this->isConnected;
         const auto self = this->shared_from_this();
         this->timers.cancel(this->timer);
         this->link->close();
@@ -51,6 +53,7 @@
     Instant deadline;
     EndpointProbeCallback callback;
     Timers::Handle timer {};
+    bool isConnected = false;
     std::shared_ptr<EndpointLink> link;
 };
 
--- a/src/Statements/EndpointProbe.h
+++ b/src/Statements/EndpointProbe.h
@@ -12,6 +12,7 @@
 struct EndpointProbeResult {
     std::optional<EndpointStatus> status; ///< nothing if the endpoint has not reported its status
     bool isRefused = false; ///< nothing listens at the address, or another endpoint does
+    bool isListening = false; ///< a connection was accepted, and not by another endpoint
 };
 
 using EndpointProbeCallback = std::function<void(const EndpointProbeResult&)>;
--- a/src/Statements/GroupInspector.cpp
+++ b/src/Statements/GroupInspector.cpp
@@ -49,6 +49,8 @@
                     collection->result.statuses.emplace(id, *probed.status);
                 if (probed.isRefused)
                     collection->result.refused.insert(id);
+                if (probed.isListening)
+                    collection->result.listening.insert(id);
                 finishOne();
             });
     }
--- a/src/Statements/GroupInspector.h
+++ b/src/Statements/GroupInspector.h
@@ -20,6 +20,7 @@
 struct Inspection {
     std::map<EndpointId, EndpointStatus> statuses; ///< of the endpoints that reported it in time
     std::set<EndpointId> refused; ///< unregistered endpoints that do not listen at their addresses
+    std::set<EndpointId> listening; ///< unregistered endpoints that accepted a connection
 };
 
 using InspectionCallback = std::function<void(Inspection)>;
--- a/tests/Promotion/PromotionCoordinatorTest.cpp
+++ b/tests/Promotion/PromotionCoordinatorTest.cpp
@@ -3,6 +3,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include <algorithm>
+#include <utility>
 
 using namespace Lavendervane;
 using namespace std::chrono_literals;
@@ -365,6 +366,30 @@
     BOOST_TEST(this->find<OrderPromotion>()->endpoint == c);
 }
 
+// Guards against a promotion that overlooks a replica that had ended, runs again without an entry, and receives.
+BOOST_AUTO_TEST_CASE(Primary_EndedReplicaRunsAgain_IsAwaited)
+{
+    const EndpointId d("d");
+    const std::map<EndpointId, EndpointStatus> registered { { b, status(50) }, { c, status(51) } };
+    std::map<EndpointId, EndpointStatus> all = registered;
+    all.emplace(d, status(52));
+    for (const auto& [event, isAwaited] : { std::pair { EndpointStatusesReceived { stock, 0, all }, true },
+             std::pair { EndpointStatusesReceived { stock, 0, registered, {}, { d } }, true },
+             std::pair { EndpointStatusesReceived { stock, 0, registered, { d } }, false } }) {
+        CoordinatorFixture fixture;
+        fixture.leaseRow = R"({"runs":[["b",0,""],["c",0,""]],"ended":[["d",5,"10.0.0.4:1"]],"primary":"a"})";
+        fixture.synchronousReplicas = 1;
+        fixture.registry(EndpointRole::Primary, EndpointRole::Replica);
+        EndpointStatusesReceived statuses = event;
+        statuses.attempt = fixture.advanceToStatusQuery();
+        BOOST_REQUIRE(fixture.find<QueryEndpointStatuses>());
+        BOOST_TEST(fixture.find<QueryEndpointStatuses>()->unregistered.count(d) == 1U);
+        fixture.handle(statuses);
+        BOOST_TEST((fixture.find<ReportBlockedPromotion>() != nullptr) == isAwaited);
+        BOOST_TEST((fixture.find<QueryEndpointStatuses>() != nullptr) != isAwaited);
+    }
+}
+
 // Guards against an endpoint of an earlier term that leads again after all VMs have restarted.
 BOOST_AUTO_TEST_CASE(Replica_MissedRecordedTerm_IsNotPromotedWhileAnotherMayAnswer)
 {
--- a/tests/Promotion/ReplicaRecorderTest.cpp
+++ b/tests/Promotion/ReplicaRecorderTest.cpp
@@ -213,6 +213,71 @@
     }
 }
 
+// Guards against a replica that is forgotten after its end, starts again with its log while it is cut off from the
+// store, and then holds the only copy of acknowledged commits.
+BOOST_AUTO_TEST_CASE(Replica_EndedRunsAgainUnregistered_IsRecordedAgain)
+{
+    const EndpointStatus primary = status(60, EndpointRole::Primary);
+    this->registry(this->all);
+    this->registry({ { a, "1" }, { c, "3" } });
+    this->answerAndContinue({ { a, primary }, { c, status(60) } }, { b });
+    this->answerAndContinue({ { a, primary }, { c, status(60) } });
+    BOOST_TEST((this->recorded() == std::vector<EndpointId> { a, c }));
+    const Instant coveredAt = this->now;
+    if (!this->query)
+        this->fireTimer();
+    BOOST_REQUIRE(this->query);
+    BOOST_TEST((this->query->unregistered == std::map<EndpointId, std::string> { { b, "2" } }));
+    this->answerAndContinue({}, { b });
+    BOOST_TEST((this->recorded() == std::vector<EndpointId> { a, c }));
+    this->answerAndContinue({ { b, status(50) } });
+    BOOST_TEST((this->recorded() == std::vector<EndpointId> { a, b, c }));
+    BOOST_TEST((this->now <= coveredAt + 2s));
+    // Its run is not known, so that any later entry of the endpoint stands for it.
+    this->starts[b] = 7;
+    this->registry(this->all);
+    BOOST_TEST(GroupRecord::parse(this->row).members.size() == 3U);
+}
+
+// Guards against a replica that is taken for ended after a long silence, and dropped although it answers again.
+BOOST_AUTO_TEST_CASE(Replica_SilentForLongAnswersAgain_HasNotEnded)
+{
+    const EndpointStatus primary = status(60, EndpointRole::Primary);
+    this->registry(this->all);
+    this->registry({ { a, "1" }, { c, "3" } });
+    this->answerAndContinue({ { a, primary }, { c, status(60) } });
+    this->now += 130s;
+    this->answerAndContinue({ { a, primary }, { c, status(60) } });
+    this->answerQuery({ { a, primary }, { b, status(61) }, { c, status(60) } });
+    BOOST_TEST((this->recorded() == std::vector<EndpointId> { a, b, c }));
+}
+
+// Guards against a row that grows with each replica that has ever left, and against queries to addresses that others
+// have taken over.
+BOOST_AUTO_TEST_CASE(Replicas_EndOneAfterAnother_NewestAreRemembered)
+{
+    std::map<EndpointId, std::string> present { { a, "1" }, { c, "3" } };
+    for (uint64_t number = 1; number <= 12; ++number) {
+        const EndpointId id("r" + std::to_string(number));
+        this->starts[id] = number;
+        present[id] = "1" + std::to_string(number);
+        this->registry(present);
+        if (this->query)
+            this->answerQuery({});
+        present.erase(id);
+        this->registry(present);
+        for (int round = 0; round < 3; ++round)
+            this->answerAndContinue({ { a, status(60, EndpointRole::Primary) }, { c, status(60) } }, { id });
+        BOOST_TEST(this->recorded().size() == 2U);
+        this->answerQuery({});
+    }
+    BOOST_TEST(GroupRecord::parse(this->row).ended.size() == 8U);
+    BOOST_TEST(GroupRecord::parse(this->row).ended.begin()->first.startedAt >= 5U);
+    present[b] = "112";
+    this->registry(present);
+    BOOST_TEST(!GroupRecord::parse(this->row).ended.count({ EndpointId("r12"), 12 }));
+}
+
 // A row that an older version of the program has written tells no runs apart; it reads a newer row by endpoint.
 BOOST_AUTO_TEST_CASE(Row_WrittenByOlderVersion_IsCompleted)
 {
