Weigh what VMs have acknowledged before a primary is replaced

With synchronous replication a promotion relied on the record of the runs that may hold commits alone. Callers saw two faults of that: writes that they had been told of were gone if the record lacked the run that held them, and a group had no primary until the old one was back, although a replica that answered held everything, because an earlier run of another one was missing.

Cause: nobody tells which replica has received a commit, so the record has to name all that may have. How far the acknowledged commits reach was not weighed, although the VMs know it: they pass the acknowledgements on, and the primary's answers carry the end of its log.

AcknowledgedCommits keeps two bounds of the newest commit that a VM has acknowledged. The poll of reachability carries the lower one: an endpoint that lacks it is not promoted. If a promotion would have to wait, all VMs revoke the primary and tell the upper one; a replica that holds it is promoted whoever is missing. A VM that does not confirm holds nothing up. Messages and rows of earlier versions are read as without evidence.

The tests name what did not exist before.

--- a/src/Fleet/EntryDaemon.cpp
+++ b/src/Fleet/EntryDaemon.cpp
@@ -276,7 +276,7 @@
                 effect.group, effect.endpoint, [this, effect, callback](ReachabilityCounts counts) {
                     this->postToControl(callback,
                         ReachabilityPolled { effect.group, effect.attempt, counts.asked, counts.reachable,
-                            counts.unreachable, counts.newestTerm });
+                            counts.unreachable, counts.newestTerm, std::move(counts.commits) });
                 });
         });
     }
@@ -289,9 +289,8 @@
                 { effect.endpoints, effect.unregistered, makeProxyStatement(kindOf(effect.command), effect.term) },
                 [this, effect, callback](Inspection found) {
                     this->postToControl(callback,
-                        EndpointStatusesReceived {
-                            effect.group, effect.attempt, std::move(found.statuses), std::move(found.refused),
-                            std::move(found.listening) });
+                        EndpointStatusesReceived { effect.group, effect.attempt, std::move(found.statuses),
+                            std::move(found.refused), std::move(found.listening) });
                 });
         });
     }
@@ -317,10 +316,11 @@
     void revokePrimary(const RevokePrimary& effect, std::function<void(PrimaryRevocationFinished)> callback) override
     {
         asio::post(this->trafficContext, [this, effect, callback = std::move(callback)] {
-            this->service.primaryLease().revoke(
-                effect.revocation, effect.members, [this, effect, callback](bool complete) {
-                    this->postToControl(
-                        callback, PrimaryRevocationFinished { effect.revocation.group, effect.attempt, complete });
+            this->service.primaryLease().revoke(effect.revocation, effect.members,
+                [this, effect, callback](bool complete, const std::optional<LogPosition>& lastAcknowledged) {
+                    this->postToControl(callback,
+                        PrimaryRevocationFinished {
+                            effect.revocation.group, effect.attempt, complete, lastAcknowledged });
                 });
         });
     }
--- a/src/Peers/PeerMessages.cpp
+++ b/src/Peers/PeerMessages.cpp
@@ -45,6 +45,17 @@
     return list;
 }
 
+Json encodeEvidence(const CommitEvidence& evidence)
+{
+    Json json = Json::array({ evidence.atLeast.term.counter, evidence.atLeast.position, evidence.atMost.term.counter,
+        evidence.atMost.position, evidence.observedMs });
+    if (const auto& coverage = evidence.coverage) {
+        for (const uint64_t field : { coverage->position.term.counter, coverage->position.position, coverage->ageMs })
+            json.push_back(field);
+    }
+    return json;
+}
+
 struct Encoder {
     Json operator()(const TokenRequest& message) const
     {
@@ -66,7 +77,7 @@
     Json operator()(const ReachabilityReply& message) const
     {
         return { ReachabilityReplyKind, message.requestId, message.endpoint.str(),
-            static_cast<uint64_t>(message.reachability), message.newestTerm };
+            static_cast<uint64_t>(message.reachability), message.newestTerm, encodeEvidence(message.commits) };
     }
     Json operator()(const PromotionNotice& message) const
     {
@@ -89,7 +100,7 @@
     }
     Json operator()(const RevocationReply& message) const
     {
-        return { RevocationReplyKind, message.requestId, message.fleetSize };
+        return { RevocationReplyKind, message.requestId, message.fleetSize, encodeEvidence(message.commits) };
     }
     Json operator()(const MemberAnnouncement& message) const
     {
@@ -134,6 +145,21 @@
     return revocations;
 }
 
+// Missing in messages of earlier versions.
+static CommitEvidence evidenceAt(const Json& json, size_t index)
+{
+    if (json.size() <= index)
+        return {};
+    const Json& fields = json.at(index);
+    const auto position = [&fields](size_t first) {
+        return LogPosition { { numberAt(fields, first), {} }, numberAt(fields, first + 1) };
+    };
+    CommitEvidence evidence { position(0), position(2), std::nullopt, millisecondsAt(fields, 4) };
+    if (fields.size() > 5)
+        evidence.coverage = CommitCoverage { position(5), millisecondsAt(fields, 7) };
+    return evidence;
+}
+
 static std::vector<TableConfirmation> tableConfirmationsAt(const Json& json, size_t index)
 {
     std::vector<TableConfirmation> tables;
@@ -158,9 +184,9 @@
         const uint64_t reachability = numberAt(json, 3);
         if (reachability > static_cast<uint64_t>(Reachability::Unreachable))
             return std::nullopt;
-        // The last field is missing in messages of earlier versions.
+        // The term is missing in messages of earlier versions.
         return ReachabilityReply { numberAt(json, 1), EndpointId(stringAt(json, 2)),
-            static_cast<Reachability>(reachability), json.size() > 4 ? numberAt(json, 4) : 0 };
+            static_cast<Reachability>(reachability), json.size() > 4 ? numberAt(json, 4) : 0, evidenceAt(json, 5) };
     }
     case PromotionNoticeKind:
         return PromotionNotice { GroupId(stringAt(json, 1)), EndpointId(stringAt(json, 2)), millisecondsAt(json, 3) };
@@ -176,7 +202,7 @@
     case RevocationRequestKind:
         return RevocationRequest { numberAt(json, 1), revocationAt(json, 2) };
     case RevocationReplyKind:
-        return RevocationReply { numberAt(json, 1), numberAt(json, 2) };
+        return RevocationReply { numberAt(json, 1), numberAt(json, 2), evidenceAt(json, 3) };
     case MemberAnnouncementKind:
         return MemberAnnouncement { { VmId(stringAt(json, 1)), DataCentre(stringAt(json, 2)), stringAt(json, 3),
             decodeUnsignedAs<uint32_t>(json.at(4)) } };
--- a/src/Peers/PeerMessages.h
+++ b/src/Peers/PeerMessages.h
@@ -3,6 +3,7 @@
 #include "Core/Identifiers.h"
 #include "Limits/ShareLedger.h"
 #include "PrimaryLease/PrimaryRevocation.h"
+#include "Promotion/CommitEvidence.h"
 
 #include <cstdint>
 #include <optional>
@@ -65,6 +66,7 @@
     /// Whether the VM can reach that endpoint or another one that it takes for the primary.
     Reachability reachability = Reachability::Unknown;
     uint64_t newestTerm = 0; ///< newest term in which a primary has answered the VM; 0 if none has
+    CommitEvidence commits {};
 
     friend bool operator==(const ReachabilityReply&, const ReachabilityReply&) = default;
 };
@@ -123,6 +125,7 @@
 struct RevocationReply {
     uint64_t requestId = 0;
     uint64_t fleetSize = 0; ///< number of VMs that the sender knows
+    CommitEvidence commits {}; ///< nothing is acknowledged later
 
     friend bool operator==(const RevocationReply&, const RevocationReply&) = default;
 };
--- a/src/PrimaryLease/PrimaryLease.cpp
+++ b/src/PrimaryLease/PrimaryLease.cpp
@@ -267,7 +267,9 @@
 void PrimaryLease::handle(const std::string& sender, const RevocationRequest& request)
 {
     this->adopt({ request.revocation });
-    this->transport.send(sender, RevocationReply { request.requestId, this->peerAddresses.size() + 1 });
+    this->transport.send(sender,
+        RevocationReply { request.requestId, this->peerAddresses.size() + 1,
+            this->listener.commitEvidence(request.revocation.group) });
 }
 
 void PrimaryLease::handle(const std::string& sender, const RevocationReply& reply)
@@ -278,6 +280,7 @@
     Revoking& running = found->second;
     ++running.confirmations;
     running.fleetSize = std::max(running.fleetSize, static_cast<uint32_t>(reply.fleetSize));
+    running.commits.push_back(reply.commits);
     this->checkRevocation(reply.requestId, running);
 }
 
@@ -294,7 +297,9 @@
     }
     running.fleetSize = static_cast<uint32_t>(running.unconfirmed.size()) + 1;
     running.callback = std::move(callback);
-    running.giveUpAt = this->timers.now() + this->settings.revocationTimeout;
+    running.startedAt = this->timers.now();
+    running.commits.push_back(this->listener.commitEvidence(revocation.group));
+    running.giveUpAt = running.startedAt + this->settings.revocationTimeout;
     this->sendRevocations(requestId, running);
     this->checkRevocation(requestId, running);
 }
@@ -341,7 +346,10 @@
         this->timers.cancel(*running.retryTimer);
     if (running.expiryTimer)
         this->timers.cancel(*running.expiryTimer);
-    running.callback(complete);
+    const bool allConfirmed = complete && running.unconfirmed.empty();
+    running.callback(complete,
+        allConfirmed ? lastAcknowledgedPosition(running.commits, this->timers.now() - running.startedAt)
+                     : std::nullopt);
 }
 
 } // namespace Lavendervane
--- a/src/PrimaryLease/PrimaryLease.h
+++ b/src/PrimaryLease/PrimaryLease.h
@@ -39,6 +39,9 @@
 
     /// The endpoint must not be used as the primary any more.
     virtual void primaryRevoked(const PrimaryRevocation&) = 0;
+
+    /// Returns what this VM knows of acknowledged commits. Called after `primaryRevoked`, when it acknowledges no more.
+    virtual CommitEvidence commitEvidence(const GroupId&) = 0;
 };
 
 /// Permission of this VM to use the primaries of all groups, limited in time. It guarantees that no other endpoint is
@@ -72,7 +75,8 @@
 
     /// Called with true once no VM can hold permission to use the revoked endpoint any more, or with false if no
     /// majority has confirmed the revocation in time; if VMs need no lease, with false if any VM has not.
-    using RevocationCallback = std::function<void(bool complete)>;
+    /// `lastAcknowledged` is the position behind which nothing was acknowledged, if all VMs together know it.
+    using RevocationCallback = std::function<void(bool complete, const std::optional<LogPosition>& lastAcknowledged)>;
 
     /// Revokes the endpoint at all `members`.
     void revoke(const PrimaryRevocation&, const std::vector<FleetMember>& members, RevocationCallback);
@@ -106,6 +110,8 @@
         uint32_t confirmations = 1; ///< including this VM
         uint32_t fleetSize = 1; ///< largest fleet size known to any VM that confirmed
         bool hasMajority = false;
+        Instant startedAt;
+        std::vector<CommitEvidence> commits; ///< of the VMs that have confirmed
         RevocationCallback callback;
         Instant giveUpAt;
         std::optional<Timers::Handle> retryTimer;
--- a/src/Promotion/PromotionCoordinator.cpp
+++ b/src/Promotion/PromotionCoordinator.cpp
@@ -234,11 +234,12 @@
         && !group.primaryUnreachable && (group.replicasPaused || group.isRevoked(group.primary));
 }
 
-// A fenced primary is revoked only if its replicas do not confirm that they pause, and stays so until it is replaced.
+// A fenced primary is revoked only if its replicas do not confirm that they pause, or if the VMs have to tell what they
+// have acknowledged, and stays so until it is replaced.
 bool PromotionCoordinator::requiresRevocation(const Group& group) const
 {
     const EndpointId& primary = currentPrimary(group);
-    return this->isUnfenced() || group.pauseUnconfirmed || group.isRevoked(primary)
+    return this->isUnfenced() || group.pauseUnconfirmed || group.asksAllVms || group.isRevoked(primary)
         || (!primary.empty() && group.succession.knownRecord().revoked == primary);
 }
 
@@ -318,6 +319,7 @@
     group.isRestoring = this->canRestorePrimary(group);
     group.oldPrimaryIsLeaving = !group.isRestoring && !group.primaryUnreachable && !group.primary.empty();
     group.barrier = CommitBarrier::None;
+    group.lastAcknowledged.reset();
     group.pauseTerm = 0;
     group.finalPosition.reset();
     group.replacingSince = group.replacingSince.value_or(now);
@@ -340,6 +342,10 @@
     const std::string counts = std::to_string(event.unreachable + 1) + " of " + std::to_string(event.asked + 1)
         + " VMs cannot reach the primary, " + std::to_string(event.reachable) + " can";
     group->succession.learnTerm(event.newestTerm);
+    for (const CommitEvidence& vm : event.commits) {
+        group->succession.learnAcknowledged(vm.atLeast);
+        group->acknowledgedUpTo = std::max(group->acknowledgedUpTo, vm.atMost);
+    }
     const bool isReachable = !group->primary.empty() && !group->primaryUnreachable;
     if (2 * (event.unreachable + 1) <= event.asked + 1 || isReachable)
         return this->retryLater(*group, now, counts);
@@ -419,7 +425,8 @@
     // Every write of the lease increases its revision within a generation, so a later holder always has a higher token.
     group->token = fencingToken(group->leaseGeneration, event.reply.revision);
     group->leaseRevision = event.reply.revision;
-    if (group->liftsRevocation || this->requiresRevocation(*group)) {
+    const bool pausesInstead = group->revocationIncomplete && this->mayPauseInstead(*group);
+    if (group->liftsRevocation || (this->requiresRevocation(*group) && !pausesInstead)) {
         group->phase = Phase::ReadingFleet;
         return { ReadFleet { group->name, group->attempt } };
     }
@@ -479,9 +486,11 @@
     Group* group = this->findInPhase(event.group, event.attempt, Phase::RevokingPrimary);
     if (!group)
         return {};
+    group->revocationIncomplete = !event.complete;
     if (!event.complete)
-        return this->retryLater(*group, now, "no majority of the VMs has confirmed the revocation of the primary");
+        return this->retryLater(*group, now, "not enough VMs have confirmed the revocation of the primary");
     group->barrier = CommitBarrier::PrimaryRevoked;
+    group->lastAcknowledged = event.lastAcknowledged;
     group->phase = Phase::QueryingStatuses;
     Effects effects = this->queryStatuses(*group);
     effects.insert(effects.begin(), LogPromotionStep { group->name, "revocation_complete", group->oldPrimary.str() });
@@ -548,6 +557,7 @@
     question.statuses = statuses;
     question.barrier = group.barrier;
     question.pauseTerm = group.pauseTerm;
+    question.lastAcknowledged = group.lastAcknowledged;
     if (group.hasUnconfirmedOrder)
         question.orderedBefore = group.promotedEndpoint;
     // Without another replica, an outdated one is promoted in the end, so that the group does not stay without a
@@ -581,7 +591,13 @@
     const bool isPauseConfirmed = answer.action == SuccessionAnswer::Action::Promote
         || (isPostponed && !answer.awaitsReplica && !answer.endpoint.empty());
     if (group.phase == Phase::PausingReplicas && !isPauseConfirmed)
-        return this->handleUnconfirmedPause(group, now);
+        return this->revokeInstead(group, now, "pause_unconfirmed", "the primary is revoked instead");
+    if (isPostponed && answer.awaitsReplica && mayHoldAllCommits(group, answer, question, now)) {
+        group.asksAllVms = true;
+        group.revocationIncomplete = false;
+        group.nextAsk = now + this->settings.askInterval;
+        return this->revokeInstead(group, now, "acknowledged_commits_asked", answer.reason);
+    }
     if (isPostponed) {
         Effects effects;
         reportBlocked(group, answer.awaitsReplica, effects);
@@ -634,17 +650,33 @@
 }
 
 // What an endpoint does not confirm, it has not done. Instead, the VMs confirm that they do not use the primary.
-std::vector<PromotionEffect> PromotionCoordinator::handleUnconfirmedPause(Group& group, Instant now)
+std::vector<PromotionEffect> PromotionCoordinator::revokeInstead(
+    Group& group, Instant now, const std::string& step, const std::string& reason)
 {
-    group.pauseUnconfirmed = true;
+    group.pauseUnconfirmed = group.pauseUnconfirmed || group.phase == Phase::PausingReplicas;
     group.barrier = CommitBarrier::None;
     ++group.attempt;
     Effects effects = this->readLease(group, now);
-    effects.insert(
-        effects.begin(), LogPromotionStep { group.name, "pause_unconfirmed", "the primary is revoked instead" });
+    effects.insert(effects.begin(), LogPromotionStep { group.name, step, reason });
     return effects;
 }
 
+// A revocation that no replica's pause has made necessary need not be complete.
+bool PromotionCoordinator::mayPauseInstead(const Group& group) const
+{
+    return !this->isUnfenced() && !group.pauseUnconfirmed;
+}
+
+// All VMs together may show that the best replica holds every acknowledged commit although others do not answer. They
+// are asked only if those that have answered already do not refute it, because the primary is revoked for that.
+bool PromotionCoordinator::mayHoldAllCommits(
+    const Group& group, const SuccessionAnswer& answer, const SuccessionQuestion& question, Instant now)
+{
+    return group.phase == Phase::QueryingStatuses && group.barrier == CommitBarrier::None && !group.oldPrimaryIsLeaving
+        && now >= group.nextAsk && !answer.endpoint.empty() && LogPosition {} < group.acknowledgedUpTo
+        && question.statuses.at(answer.endpoint).received >= group.acknowledgedUpTo;
+}
+
 std::vector<PromotionEffect> PromotionCoordinator::restorePrimary(
     Group& group, const std::map<EndpointId, EndpointStatus>& statuses, Instant now)
 {
@@ -710,6 +742,10 @@
 {
     group.replacingSince.reset();
     group.pauseUnconfirmed = false;
+    group.asksAllVms = false;
+    group.nextAsk = {};
+    group.revocationIncomplete = false;
+    group.acknowledgedUpTo = {};
     group.keepsLease = false;
     group.hasUnconfirmedOrder = false;
     group.unansweredOrders = 0;
--- a/src/Promotion/PromotionCoordinator.h
+++ b/src/Promotion/PromotionCoordinator.h
@@ -43,6 +43,8 @@
     Duration retryDelay = std::chrono::milliseconds(300);
     /// Interval of attempts while the promotion waits for a replica that may hold acknowledged commits.
     Duration blockedRetryInterval = std::chrono::seconds(1);
+    /// Interval at which all VMs are asked what they have acknowledged, while a promotion waits for a replica.
+    Duration askInterval = std::chrono::seconds(10);
     /// Interval at which replicas are queried while they catch up with a primary that has stepped down.
     Duration catchUpInterval = std::chrono::milliseconds(15);
     /// Maximum time to wait for a replica to catch up. Healthy replicas lag by less than 150 ms.
@@ -124,6 +126,11 @@
         uint32_t synchronousReplicas = 0;
         bool replicasPaused = false; ///< replicas may receive nothing, because of an attempt of this or another VM
         bool pauseUnconfirmed = false; ///< the endpoints do not confirm that they pause; the primary is revoked instead
+        bool asksAllVms = false; ///< the primary is revoked so that all VMs tell what they have acknowledged
+        Instant nextAsk {}; ///< the VMs are not asked before
+        bool revocationIncomplete = false; ///< a VM has not confirmed; nothing waits for it if replicas can be paused
+        LogPosition acknowledgedUpTo; ///< newest end of the log that a VM has seen in the answer to a commit
+        std::optional<LogPosition> lastAcknowledged; ///< by the revocation of this attempt
         bool isBlocked = false; ///< the promotion waits for a replica that may hold acknowledged commits
         Instant ordersSettledAt {}; ///< by then, an order that was received has taken effect
         bool primaryUnreachable = false; ///< this VM cannot reach the primary
@@ -199,7 +206,9 @@
     SuccessionQuestion makeQuestion(const Group&, const std::map<EndpointId, EndpointStatus>&, Instant now) const;
     static Effects pauseReplicas(Group&, const SuccessionQuestion&);
     static Effects resumeReplicas(Group&);
-    Effects handleUnconfirmedPause(Group&, Instant now);
+    Effects revokeInstead(Group&, Instant now, const std::string& step, const std::string& reason);
+    static bool mayHoldAllCommits(const Group&, const SuccessionAnswer&, const SuccessionQuestion&, Instant now);
+    bool mayPauseInstead(const Group&) const;
     Effects restorePrimary(Group&, const std::map<EndpointId, EndpointStatus>&, Instant now);
     Effects orderPromotion(Group&, const EndpointId&, const SuccessionQuestion&, Instant now);
     Effects sendOrder(Group&, const EndpointId&, Instant now);
--- a/src/Promotion/PromotionMessages.h
+++ b/src/Promotion/PromotionMessages.h
@@ -6,6 +6,7 @@
 #include "Fleet/TableStore.h"
 #include "Limits/ShareLedger.h"
 #include "PrimaryLease/PrimaryRevocation.h"
+#include "Promotion/CommitEvidence.h"
 #include "Promotion/GroupRecord.h"
 #include "Statements/StatementAnswer.h"
 
@@ -49,6 +50,7 @@
     uint32_t reachable = 0;
     uint32_t unreachable = 0;
     uint64_t newestTerm = 0; ///< newest term of the group that another VM has reported; 0 if none is known
+    std::vector<CommitEvidence> commits {}; ///< of the VMs that answered, and of this one
 };
 
 /// Result of ReadLease.
@@ -78,6 +80,7 @@
     GroupId group;
     uint64_t attempt = 0;
     bool complete = false; ///< true if no VM can use the old primary any more
+    std::optional<LogPosition> lastAcknowledged {}; ///< nothing behind it was acknowledged, if all VMs confirmed that
 };
 
 /// This VM has learnt of a revocation, by another VM or from the platform's table.
--- a/src/Promotion/Succession.cpp
+++ b/src/Promotion/Succession.cpp
@@ -26,11 +26,18 @@
         && status != question.statuses.end() && status->second.term < leadership.term;
 }
 
-uint64_t Succession::newestTerm(const SuccessionQuestion& question) const
+// Returns the newest term in which an endpoint is known to have led.
+uint64_t Succession::newestSeenTerm(const SuccessionQuestion& question) const
 {
     uint64_t newest = this->seenTerm;
     for (const auto& [id, status] : question.statuses)
         newest = std::max(newest, status.term);
+    return newest;
+}
+
+uint64_t Succession::newestTerm(const SuccessionQuestion& question) const
+{
+    uint64_t newest = this->newestSeenTerm(question);
     if (this->record.leadership.term > newest && !this->isLeadershipRefuted(question))
         newest = this->record.leadership.term;
     return newest;
@@ -181,11 +188,23 @@
         notPaused += !status || status->heldTerm < question.pauseTerm;
     }
     SuccessionAnswer answer { Action::Postpone, best, {}, false };
+    const LogPosition& position = question.statuses.at(best).received;
+    if (question.lastAcknowledged && question.barrier == CommitBarrier::PrimaryRevoked
+        && position >= *question.lastAcknowledged) {
+        answer.action = Action::Promote;
+        return answer;
+    }
     if (missing >= this->synchronousReplicas) {
         answer.reason = "replicas that may hold acknowledged commits did not answer:" + names;
         answer.awaitsReplica = true;
         return answer;
     }
+    // What was acknowledged in an earlier term is in the log of the endpoint that led the next one.
+    if (position < this->acknowledged && this->acknowledged.term.counter >= this->newestSeenTerm(question)) {
+        answer.reason = "the replicas that answered lack acknowledged commits";
+        answer.awaitsReplica = true;
+        return answer;
+    }
     if (const EndpointId ahead = this->unpromotableAhead(question, best, false); !ahead.empty()) {
         answer.reason = "only a replica that is not registered holds all acknowledged commits: " + ahead.str();
         answer.awaitsReplica = true;
--- a/src/Promotion/Succession.h
+++ b/src/Promotion/Succession.h
@@ -3,8 +3,10 @@
 #include "Promotion/GroupRecord.h"
 #include "Statements/StatementAnswer.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -33,6 +35,8 @@
     CommitBarrier barrier = CommitBarrier::None;
     uint64_t pauseTerm = 0; ///< term of the pause if the barrier is ReplicasPaused
     std::set<EndpointId> listening {}; ///< endpoints that are not registered and accept connections
+    /// Position behind which no commit has been acknowledged; known at most if the barrier is PrimaryRevoked.
+    std::optional<LogPosition> lastAcknowledged {};
     EndpointId orderedBefore; ///< endpoint that an unanswered order may still promote; preferred if it answered
     /// An endpoint may be promoted that does not know the newest term, and one that knows no term may always have been
     /// without a log.
@@ -59,6 +63,8 @@
 ///   endpoint that answered holds it if fewer than that many of the runs that may hold commits are missing. A run is
 ///   missing also if a later one of its endpoint answers: that one may hold nothing.
 /// - A run that had ended counts again as soon as it runs again, registered or not.
+/// - An endpoint that lacks a commit of which a VM knows that it was acknowledged is not promoted. One that holds all
+///   that any VM can have acknowledged is promoted even if others are missing.
 /// - This stays true only behind a barrier, because the old primary may be back before its successor leads.
 ///
 /// What it must know for longer than a VM lives is in the GroupRecord.
@@ -69,6 +75,9 @@
     /// A VM has seen a primary in this term.
     void learnTerm(uint64_t term);
 
+    /// A commit at this position or behind it has been acknowledged.
+    void learnAcknowledged(const LogPosition& position) { this->acknowledged = std::max(this->acknowledged, position); }
+
     void learnRecord(const GroupRecord& stored) { this->record = stored; }
 
     /// The promotion has been ordered.
@@ -90,6 +99,7 @@
 
 private:
     uint64_t newestTerm(const SuccessionQuestion&) const;
+    uint64_t newestSeenTerm(const SuccessionQuestion&) const;
     bool isLeadershipRefuted(const SuccessionQuestion&) const;
     EndpointId oldPrimary(const SuccessionQuestion&) const;
     std::set<EndpointRun> possibleHolders(const SuccessionQuestion&) const;
@@ -101,6 +111,7 @@
 
     uint32_t synchronousReplicas = 0;
     uint64_t seenTerm = 0; ///< newest term in which a VM has seen a primary
+    LogPosition acknowledged; ///< the newest commit that a VM knows to be acknowledged is here or behind it
     GroupRecord record;
 };
 
--- a/src/Statements/CallerOperation.cpp
+++ b/src/Statements/CallerOperation.cpp
@@ -470,7 +470,7 @@
     }
     if (reply.code == AnswerCode::Done && running.writes) {
         this->recordPosition(running.route, sent, reply);
-        this->recordCommit(running.route.group, reply);
+        this->recordCommit(running.route.group, sent, reply);
     }
     if (connection->pool())
         connection->pool()->release(connection);
--- a/src/Statements/CallerSession.cpp
+++ b/src/Statements/CallerSession.cpp
@@ -215,11 +215,13 @@
 {
     GroupTraffic* group = this->service.findGroup(route.group);
     if (group && reply.position)
-        group->freshness().record(queryTime, *reply.position);
+        group->recordAnswer(queryTime, *reply.position);
 }
 
-void CallerSession::recordCommit(const GroupId& group, const EndpointAnswer& reply)
+void CallerSession::recordCommit(const GroupId& group, Instant sent, const EndpointAnswer& reply)
 {
+    if (GroupTraffic* traffic = this->service.findGroup(group))
+        traffic->recordCommit(sent, reply.position);
     if (!reply.position)
         return;
     LogPosition& newest = this->lastCommits[group];
--- a/src/Statements/CallerSession.h
+++ b/src/Statements/CallerSession.h
@@ -166,7 +166,7 @@
         const std::shared_ptr<PooledConnection>&, const Statement&, const Statement* begin = nullptr);
     bool isWrite(const Statement&) const;
     void recordPosition(const SessionRoute&, Instant queryTime, const EndpointAnswer&);
-    void recordCommit(const GroupId&, const EndpointAnswer&);
+    void recordCommit(const GroupId&, Instant sent, const EndpointAnswer&);
     void answer(const CallerAnswer&);
     void refuse(AnswerCode, const std::string& reason);
     void logFailure(const CallerAnswer&, const std::string& reason) const;
--- a/src/Statements/CallerTransaction.cpp
+++ b/src/Statements/CallerTransaction.cpp
@@ -233,7 +233,7 @@
     }
     if (reply.code == AnswerCode::Done && wrote) {
         this->recordPosition(route, sent, reply);
-        this->recordCommit(route.group, reply);
+        this->recordCommit(route.group, sent, reply);
     }
     this->endTransaction(reply.state != TransactionState::Idle);
     CallerAnswer toCaller { reply.code, std::move(reply.result), reply.message, TransactionState::Idle };
--- a/src/Statements/FreshnessLog.cpp
+++ b/src/Statements/FreshnessLog.cpp
@@ -46,6 +46,13 @@
     return this->entries.back().position;
 }
 
+std::optional<FreshnessLog::Entry> FreshnessLog::oldest() const
+{
+    if (this->entries.empty())
+        return std::nullopt;
+    return this->entries.front();
+}
+
 std::optional<LogPosition> FreshnessLog::requiredPosition(
     Instant since, const std::optional<LogPosition>& sessionCommit) const
 {
--- a/src/Statements/FreshnessLog.h
+++ b/src/Statements/FreshnessLog.h
@@ -13,6 +13,11 @@
 /// query sent at `queryTime`.
 class FreshnessLog {
 public:
+    struct Entry {
+        Instant queryTime;
+        LogPosition position;
+    };
+
     /// Records the log position in a primary's answer. `queryTime` is the time at which the query was sent.
     void record(Instant queryTime, const LogPosition&);
 
@@ -23,17 +28,15 @@
     /// Position in the answer to the most recent query.
     std::optional<LogPosition> newestPosition() const;
 
+    /// The oldest entry that is kept.
+    std::optional<Entry> oldest() const;
+
     /// Position that an endpoint must hold to serve a read that must see all commits acknowledged before `since` and
     /// the session's last commit `sessionCommit`. A session commit of an earlier term is ignored: it either is covered
     /// by any answer of the later term or was rolled back.
     std::optional<LogPosition> requiredPosition(Instant since, const std::optional<LogPosition>& sessionCommit) const;
 
 private:
-    struct Entry {
-        Instant queryTime;
-        LogPosition position;
-    };
-
     std::deque<Entry> entries; ///< in order of `queryTime`, all of the same term
 };
 
--- a/src/Statements/GroupTraffic.cpp
+++ b/src/Statements/GroupTraffic.cpp
@@ -61,6 +61,11 @@
 
 void GroupTraffic::update(const std::vector<RegisteredEndpoint>& endpoints, const Directory& directory)
 {
+    const GroupDeclaration* declared = directory.findGroup(this->name);
+    if (!declared || !declared->synchronousReplicas)
+        this->acknowledgedCommits.reset();
+    else if (!this->acknowledgedCommits)
+        this->acknowledgedCommits.emplace(this->timers.now());
     std::map<EndpointId, Member> kept;
     bool rolesChanged = false;
     for (const RegisteredEndpoint& endpoint : endpoints) {
@@ -254,6 +259,25 @@
     return newest ? newest->term.counter : 0;
 }
 
+void GroupTraffic::recordAnswer(Instant queryTime, const LogPosition& position)
+{
+    this->freshnessLog.record(queryTime, position);
+    if (this->acknowledgedCommits)
+        this->acknowledgedCommits->recordAnswer(this->timers.now(), position);
+}
+
+void GroupTraffic::recordCommit(Instant sent, const std::optional<LogPosition>& end)
+{
+    if (this->acknowledgedCommits)
+        this->acknowledgedCommits->recordCommit(sent, end);
+}
+
+CommitEvidence GroupTraffic::commitEvidence() const
+{
+    return this->acknowledgedCommits ? this->acknowledgedCommits->evidence(this->freshnessLog, this->timers.now())
+                                     : CommitEvidence {};
+}
+
 uint64_t GroupTraffic::addChangeCallback(std::function<void()> callback)
 {
     this->changeCallbacks.emplace(++this->lastCallbackId, std::move(callback));
--- a/src/Statements/GroupTraffic.h
+++ b/src/Statements/GroupTraffic.h
@@ -2,6 +2,7 @@
 
 #include "Fleet/Directory.h"
 #include "Peers/PeerMessages.h"
+#include "Statements/AcknowledgedCommits.h"
 #include "Statements/EndpointChoice.h"
 #include "Statements/EndpointPool.h"
 #include "Statements/FreshnessLog.h"
@@ -54,6 +55,16 @@
     bool isLeftWithoutEndpoint() const;
 
     FreshnessLog& freshness() { return this->freshnessLog; }
+
+    /// Records the end of the log in an answer of the primary to a query that was sent at `queryTime`.
+    void recordAnswer(Instant queryTime, const LogPosition&);
+
+    /// Records that a commit, sent at `sent`, has been acknowledged. `end` is the end of the log in its answer.
+    void recordCommit(Instant sent, const std::optional<LogPosition>& end);
+
+    /// What this VM knows of acknowledged commits; nothing if the group has no synchronous replication.
+    CommitEvidence commitEvidence() const;
+
     const GroupId& id() const { return this->name; }
 
     /// Calls `callback` once when the primary may have changed. Returns an ID for `removeChangeCallback`.
@@ -106,6 +117,7 @@
     EndpointId successor; ///< endpoint that is being promoted
     Instant successorAwaitedUntil {};
     FreshnessLog freshnessLog;
+    std::optional<AcknowledgedCommits> acknowledgedCommits; ///< only with synchronous replication
     std::map<uint64_t, std::function<void()>> changeCallbacks;
     uint64_t lastCallbackId = 0;
 };
--- a/src/Statements/ReachabilityPoll.cpp
+++ b/src/Statements/ReachabilityPoll.cpp
@@ -70,6 +70,7 @@
         return;
     answer->second = reply.reachability;
     found->second.newestTerm = std::max(found->second.newestTerm, reply.newestTerm);
+    found->second.commits[sender] = reply.commits;
     this->finishIfDecided(reply.requestId, false);
 }
 
@@ -78,6 +79,8 @@
     const auto found = this->polls.find(pollId);
     ReachabilityCounts counts;
     counts.newestTerm = found->second.newestTerm;
+    for (const auto& [address, evidence] : found->second.commits)
+        counts.commits.push_back(evidence);
     counts.asked = static_cast<uint32_t>(found->second.answers.size());
     for (const auto& [address, answer] : found->second.answers) {
         counts.reachable += answer == Reachability::Reachable;
--- a/src/Statements/ReachabilityPoll.h
+++ b/src/Statements/ReachabilityPoll.h
@@ -28,6 +28,7 @@
     uint32_t reachable = 0;
     uint32_t unreachable = 0;
     uint64_t newestTerm = 0; ///< newest term of the group that a VM has reported
+    std::vector<CommitEvidence> commits; ///< of the VMs that answered
 };
 
 /// Asks other VMs whether they reach the primary of a group, until a majority has agreed or all rounds are over.
@@ -56,6 +57,7 @@
         EndpointId endpoint;
         std::map<std::string, Reachability> answers; ///< answer of each VM, by its address
         uint64_t newestTerm = 0;
+        std::map<std::string, CommitEvidence> commits; ///< evidence of each VM, by its address
         uint32_t round = 0;
         Callback callback;
         Timers::Handle timer;
--- a/src/Statements/StatementService.cpp
+++ b/src/Statements/StatementService.cpp
@@ -283,10 +283,11 @@
         this->requestAdmission.handleTokenReturn(sender, *returned);
     } else if (const auto* question = std::get_if<ReachabilityRequest>(&message)) {
         GroupTraffic* group = this->findGroup(question->group);
-        ReachabilityReply reply { question->requestId, question->endpoint, Reachability::Unknown, 0 };
+        ReachabilityReply reply { question->requestId, question->endpoint };
         if (group) {
             reply.reachability = group->primaryReachability(question->endpoint, this->clock.now());
             reply.newestTerm = group->newestTerm();
+            reply.commits = group->commitEvidence();
         }
         this->peers.send(sender, reply);
     } else if (const auto* answer = std::get_if<ReachabilityReply>(&message)) {
@@ -344,7 +345,17 @@
 void StatementService::pollReachability(
     const GroupId& group, const EndpointId& endpoint, ReachabilityPoll::Callback callback)
 {
-    this->reachabilityPoll.start(group, endpoint, std::move(callback));
+    this->reachabilityPoll.start(
+        group, endpoint, [this, group, callback = std::move(callback)](ReachabilityCounts counts) {
+            counts.commits.push_back(this->commitEvidence(group));
+            callback(std::move(counts));
+        });
+}
+
+CommitEvidence StatementService::commitEvidence(const GroupId& name)
+{
+    const GroupTraffic* group = this->findGroup(name);
+    return group ? group->commitEvidence() : CommitEvidence {};
 }
 
 void StatementService::announcePromotion(const GroupId& name, const EndpointId& endpoint, Duration expectedIn)
--- a/src/Statements/StatementService.h
+++ b/src/Statements/StatementService.h
@@ -185,6 +185,7 @@
     }
     void primaryLeaseChanged() override;
     void primaryRevoked(const PrimaryRevocation&) override;
+    CommitEvidence commitEvidence(const GroupId&) override;
     bool canUsePrimary(const GroupTraffic&) const;
     void endEvacuatedTransactions();
     void expectPrimary(const GroupId&, const EndpointId&, Duration expectedIn);
--- a/tests/Peers/PeerMessagesTest.cpp
+++ b/tests/Peers/PeerMessagesTest.cpp
@@ -13,12 +13,14 @@
     const std::vector<PeerMessage> messages { TokenRequest { 7, OrganisationId("desk"), 2500 },
         TokenRequest { 7, OrganisationId("desk"), 2500, true }, TokenReply { 7, OrganisationId("desk"), 1000 },
         TokenReturn { 7, OrganisationId("desk"), 3000 }, ReachabilityRequest { 8, GroupId("stock"), EndpointId("a") },
-        ReachabilityReply { 8, EndpointId("a"), Reachability::Unreachable, 41 },
+        ReachabilityReply { 8, EndpointId("a"), Reachability::Unreachable, 41,
+            { { { 3, {} }, 9 }, { { 3, {} }, 11 }, CommitCoverage { { { 3, {} }, 7 }, 250 }, 9000 } },
         PromotionNotice { GroupId("stock"), EndpointId("b"), 900 }, LeaseRequest { 9 },
         LeaseReply { 9, true, 250, { { GroupId("stock"), EndpointId("a"), 41 }, { GroupId("club"), {}, 42 } } },
         LeaseReply { 10, false, 0, {} }, ConfirmationRequest { 11 },
         ConfirmationReply { 11, 12, { { GroupId("stock"), EndpointId("a"), 41 } } },
-        RevocationRequest { 12, { GroupId("stock"), EndpointId("a"), 41, "10.0.0.11:1" } }, RevocationReply { 12, 12 },
+        RevocationRequest { 12, { GroupId("stock"), EndpointId("a"), 41, "10.0.0.11:1" } },
+        RevocationReply { 12, 12, { {}, { { 3, {} }, 11 }, std::nullopt, 9000 } },
         MemberAnnouncement { { VmId("vm-1"), DataCentre("dc"), "10.0.0.1:7560", 170 } },
         TablesConfirmed { 3, { { "configuration", 41, 7'000'000'000 }, { "registry", 44, 7'000'000'200 } } } };
     for (const PeerMessage& message : messages) {
--- a/tests/PrimaryLease/LeaseFleet.cpp
+++ b/tests/PrimaryLease/LeaseFleet.cpp
@@ -41,6 +41,7 @@
     void setListener(PeerListener*) override { }
     void primaryLeaseChanged() override { }
     void primaryRevoked(const PrimaryRevocation&) override { }
+    CommitEvidence commitEvidence(const GroupId&) override { return this->fleet.evidence; }
 
     LeaseFleet& fleet;
     size_t index;
@@ -151,10 +152,14 @@
     started.lease->start(stored);
 }
 
-void LeaseFleet::revoke(size_t vm, const PrimaryRevocation& revocation, PrimaryLease::RevocationCallback callback)
+void LeaseFleet::revoke(size_t vm, const PrimaryRevocation& revocation, std::function<void(bool complete)> callback)
 {
     this->table[revocation.group] = revocation;
-    this->vms[vm]->lease->revoke(revocation, this->members, std::move(callback));
+    this->vms[vm]->lease->revoke(revocation, this->members,
+        [this, callback = std::move(callback)](bool complete, const std::optional<LogPosition>& lastAcknowledged) {
+            this->lastAcknowledged = lastAcknowledged;
+            callback(complete);
+        });
 }
 
 void LeaseFleet::send(size_t from, const std::string& to, const PeerMessage& message)
--- a/tests/PrimaryLease/LeaseFleet.h
+++ b/tests/PrimaryLease/LeaseFleet.h
@@ -40,7 +40,10 @@
     void restart(size_t vm, bool readsTable = true);
 
     /// Stores a revocation in the platform's table and carries it out.
-    void revoke(size_t vm, const PrimaryRevocation&, PrimaryLease::RevocationCallback);
+    void revoke(size_t vm, const PrimaryRevocation&, std::function<void(bool complete)>);
+
+    CommitEvidence evidence; ///< of every VM
+    std::optional<LogPosition> lastAcknowledged; ///< reported by the newest revocation that has finished
 
     /// Probability, in 1/1000, that a message is lost.
     uint32_t lossPerMille = 0;
--- a/tests/PrimaryLease/PrimaryLeaseTest.cpp
+++ b/tests/PrimaryLease/PrimaryLeaseTest.cpp
@@ -171,16 +171,20 @@
 BOOST_AUTO_TEST_CASE(Revocation_WithoutLeases_CompletesOnlyWhenEveryVmConfirms)
 {
     LeaseFleet fenced { 3, 4, {}, 1 };
+    const LogPosition last { { 1, {} }, 50 };
+    fenced.evidence = { {}, last, CommitCoverage { last, 1 }, 1 };
     fenced.pause(5, true);
     const auto keepResult = [this](bool complete) { this->result = complete; };
     fenced.revoke(1, { LeaseFleet::group, oldPrimary, 1 }, keepResult);
     fenced.advance(5s);
     BOOST_REQUIRE(this->result.has_value());
     BOOST_TEST(!*this->result);
+    BOOST_TEST(!fenced.lastAcknowledged);
     fenced.pause(5, false);
     fenced.revoke(1, { LeaseFleet::group, oldPrimary, 2 }, keepResult);
     fenced.advance(1s);
     BOOST_TEST(*this->result);
+    BOOST_TEST((fenced.lastAcknowledged == last));
     BOOST_TEST(fenced.countUsing(oldPrimary) == 0U);
 }
 
--- a/tests/Promotion/PromotionCoordinatorTest.cpp
+++ b/tests/Promotion/PromotionCoordinatorTest.cpp
@@ -3,6 +3,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 using namespace Lavendervane;
@@ -96,7 +97,7 @@
         this->handle(EndpointReachabilityChanged { stock, a, false });
         this->fireTimer();
         const uint64_t attempt = this->find<PollReachability>()->attempt;
-        this->handle(ReachabilityPolled { stock, attempt, 9, 2, 7 });
+        this->handle(ReachabilityPolled { stock, attempt, 9, 2, 7, 0, this->commits });
         this->handle(LeaseReadAnswered {
             stock, attempt, this->reply(TableStatus::Done, this->leaseRow.empty() ? 0 : 40, this->leaseRow) });
         this->handle(LeaseWriteAnswered { stock, attempt, this->reply(TableStatus::Done, 41) });
@@ -144,6 +145,7 @@
 
     uint32_t synchronousReplicas = 0;
     uint64_t generation = 0; ///< generation of the table
+    std::vector<CommitEvidence> commits; ///< what VMs tell in the poll
     std::string leaseRow; ///< the group's row before the attempt; empty if there is none
     PromotionCoordinator coordinator { VmId("vm-1"), "run-1", {} };
     Instant now { 100s };
@@ -390,6 +392,73 @@
     }
 }
 
+// Guards against a promotion that discards commits of which VMs know that they were acknowledged, whatever the record
+// says of the endpoints that may hold them.
+BOOST_AUTO_TEST_CASE(Primary_ReplicasLackAcknowledgedCommit_IsNotReplaced)
+{
+    for (const auto& [term, position, isPostponed] :
+        { std::tuple { 1U, 54U, true }, std::tuple { 1U, 53U, false }, std::tuple { 0U, 99U, false } }) {
+        CoordinatorFixture fixture;
+        fixture.commits = { { { { term, {} }, position }, { { term, {} }, 99 } }, {} };
+        fixture.synchronousReplicas = 1;
+        fixture.registry(EndpointRole::Primary, EndpointRole::Replica);
+        const uint64_t attempt = fixture.advanceToStatusQuery();
+        fixture.handle(EndpointStatusesReceived { stock, attempt, { { b, status(53) }, { c, status(52) } } });
+        BOOST_TEST((fixture.find<QueryEndpointStatuses>() == nullptr) == isPostponed);
+        BOOST_TEST((fixture.find<ReportBlockedPromotion>() != nullptr) == isPostponed);
+    }
+}
+
+// Guards against a group that stays without a primary because an earlier run of a replica is missing, although the VMs
+// know that the other one holds all that they have acknowledged, and against a promotion without that knowledge.
+BOOST_AUTO_TEST_CASE(Primary_ReplicaIsMissing_IsReplacedIfNothingBehindItWasAcknowledged)
+{
+    for (const uint64_t last : { 53, 54, 0 }) {
+        CoordinatorFixture fixture;
+        fixture.commits = { { { { 1, {} }, 50 }, { { 1, {} }, 53 } } };
+        fixture.synchronousReplicas = 1;
+        fixture.registry(EndpointRole::Primary, EndpointRole::Replica);
+        uint64_t attempt = fixture.advanceToStatusQuery();
+        fixture.handle(EndpointStatusesReceived { stock, attempt, { { b, status(53) } } });
+        BOOST_REQUIRE(fixture.find<ReadLease>());
+        attempt = fixture.find<ReadLease>()->attempt;
+        fixture.handle(
+            LeaseReadAnswered { stock, attempt, fixture.reply(TableStatus::Done, 41, R"({"run":"run-1"})") });
+        fixture.handle(LeaseWriteAnswered { stock, attempt, fixture.reply(TableStatus::Done, 42) });
+        fixture.handle(FleetReadAnswered { stock, attempt, std::vector<FleetMember> {} });
+        BOOST_REQUIRE(fixture.find<RevokePrimary>());
+        BOOST_TEST(fixture.find<RevokePrimary>()->revocation.endpoint == a);
+        const auto known = last ? std::optional(LogPosition { { 1, {} }, last }) : std::nullopt;
+        fixture.handle(PrimaryRevocationFinished { stock, attempt, true, known });
+        fixture.handle(EndpointStatusesReceived { stock, attempt, { { b, status(53) } } });
+        BOOST_TEST((fixture.find<OrderPromotion>() != nullptr) == (last == 53));
+        BOOST_TEST((fixture.find<ReportBlockedPromotion>() != nullptr) == (last != 53));
+    }
+    // A VM does not confirm: the promotion does not wait for it once the replica is back.
+    CoordinatorFixture blocked;
+    blocked.commits = { { { { 1, {} }, 50 }, { { 1, {} }, 53 } } };
+    blocked.synchronousReplicas = 1;
+    blocked.registry(EndpointRole::Primary, EndpointRole::Replica);
+    blocked.handle(EndpointStatusesReceived { stock, blocked.advanceToStatusQuery(), { { b, status(53) } } });
+    uint64_t asking = blocked.find<ReadLease>()->attempt;
+    blocked.handle(LeaseReadAnswered { stock, asking, blocked.reply(TableStatus::Done, 41, R"({"run":"run-1"})") });
+    blocked.handle(LeaseWriteAnswered { stock, asking, blocked.reply(TableStatus::Done, 42) });
+    blocked.handle(FleetReadAnswered { stock, asking, std::vector<FleetMember> {} });
+    blocked.handle(PrimaryRevocationFinished { stock, asking, false });
+    blocked.leaseRow = R"({"revoked":"a"})";
+    asking = blocked.advanceToStatusQuery();
+    blocked.handle(EndpointStatusesReceived { stock, asking, { { b, status(53) }, { c, status(52) } } });
+    BOOST_REQUIRE(blocked.find<QueryEndpointStatuses>());
+    BOOST_TEST((blocked.find<QueryEndpointStatuses>()->command == ReplicationCommand::Pause));
+    // The VMs that have answered show already that the replica may lack a commit.
+    this->commits = { { { { 1, {} }, 50 }, { { 1, {} }, 54 } } };
+    this->synchronousReplicas = 1;
+    this->registry(EndpointRole::Primary, EndpointRole::Replica);
+    this->handle(EndpointStatusesReceived { stock, this->advanceToStatusQuery(), { { b, status(53) } } });
+    BOOST_TEST(!this->find<ReadLease>());
+    BOOST_TEST(this->find<ReportBlockedPromotion>());
+}
+
 // Guards against an endpoint of an earlier term that leads again after all VMs have restarted.
 BOOST_AUTO_TEST_CASE(Replica_MissedRecordedTerm_IsNotPromotedWhileAnotherMayAnswer)
 {
--- a/tests/Promotion/ReplicaRecorderTest.cpp
+++ b/tests/Promotion/ReplicaRecorderTest.cpp
@@ -239,6 +239,52 @@
     BOOST_TEST(GroupRecord::parse(this->row).members.size() == 3U);
 }
 
+// Guards against an ended replica that nobody asks any more because the VMs that knew it have restarted, or because the
+// table was restored from a copy that does not name it.
+BOOST_AUTO_TEST_CASE(Replica_EndedBeforeRestartOrRestore_IsStillAsked)
+{
+    const std::map<EndpointId, std::string> ended { { b, "2" } };
+    for (const bool isRestored : { false, true }) {
+        RecorderFixture fixture;
+        fixture.row.revision = 7;
+        fixture.row.value = R"({"runs":[["a",1,"1"],["c",1,"3"]],"ended":[["b",1,"2"]],"primary":"a"})";
+        fixture.registry({ { a, "1" }, { c, "3" } });
+        if (!fixture.query)
+            fixture.fireTimer();
+        BOOST_REQUIRE(fixture.query);
+        BOOST_TEST((fixture.query->unregistered == ended));
+        if (isRestored) {
+            fixture.answerQuery({}, { b });
+            fixture.row.value = "{}";
+            fixture.handle(TableRestored {});
+            fixture.now += 1s;
+            fixture.fireTimer();
+            BOOST_REQUIRE(fixture.query);
+            BOOST_TEST((fixture.query->unregistered == ended));
+            BOOST_TEST(GroupRecord::parse(fixture.row).ended.size() == 1U);
+        }
+        fixture.answerAndContinue({ { b, status(70) } });
+        BOOST_TEST((fixture.recorded() == std::vector<EndpointId> { a, b, c }));
+    }
+}
+
+// Guards against a rolling restart of the replicas after which a promotion waits for runs that have ended.
+BOOST_AUTO_TEST_CASE(Replicas_StartAgainOneAfterAnother_OnlyNewRunsAreRecorded)
+{
+    this->registry(this->all);
+    for (const EndpointId& restarted : { b, c }) {
+        this->starts[restarted] = 2;
+        this->registry(this->all);
+        for (int round = 0; round < 2; ++round)
+            this->answerAndContinue({ { a, status(60, EndpointRole::Primary) }, { b, status(60) }, { c, status(60) } });
+        this->answerQuery({});
+    }
+    const GroupRecord record = GroupRecord::parse(this->row);
+    BOOST_TEST(record.members.size() == 3U);
+    BOOST_TEST((record.members.count({ b, 2 }) && record.members.count({ c, 2 })));
+    BOOST_TEST(record.ended.empty());
+}
+
 // Guards against a replica that is taken for ended after a long silence, and dropped although it answers again.
 BOOST_AUTO_TEST_CASE(Replica_SilentForLongAnswersAgain_HasNotEnded)
 {
