--- a/src/Fleet/EntryDaemon.cpp
+++ b/src/Fleet/EntryDaemon.cpp
@@ -7,6 +7,7 @@
 #include "Peers/DatagramPeers.h"
 #include "Relay/TcpRelayTransport.h"
 #include "Runtime/AsioTimers.h"
+#include "Runtime/BuildId.h"
 #include "Runtime/StructuredLog.h"
 #include "Statements/StatementService.h"
 
@@ -228,7 +229,7 @@
     int run()
     {
         this->log.write("started",
-            { { "version", LAVENDERVANE_VERSION }, { "run", this->settings.runId },
+            { { "version", LAVENDERVANE_VERSION }, { "build", readBuildId() }, { "run", this->settings.runId },
                 { "data_centre", this->settings.dataCentre.str() } });
         this->waitForSignal();
         this->control.start();
