End a transaction whose key has passed to another organisation

Cause: isKeyWithdrawn asked whether anybody holds the key, not whether the organisation does in whose name the transaction was begun.

CallerSessionTest/Key_PassedOnToOtherOrganisation_* fails on the code before (2 checks) and passes now.

--- a/src/Statements/CallerSession.cpp
+++ b/src/Statements/CallerSession.cpp
@@ -274,10 +274,13 @@
     this->service.log().statementFailed(failed);
 }
 
+// A transaction belongs to the organisation that held the key when it began.
 bool CallerSession::isKeyWithdrawn() const
 {
-    OrganisationId organisation;
-    return this->hasOpenTransaction() && !this->authorise(this->transaction->route, organisation);
+    if (!this->hasOpenTransaction())
+        return false;
+    OrganisationId holder = this->transaction->organisation;
+    return !this->authorise(this->transaction->route, holder) || holder != this->transaction->organisation;
 }
 
 void CallerSession::closeIfIdle()
--- a/tests/Statements/CallerSessionTest.cpp
+++ b/tests/Statements/CallerSessionTest.cpp
@@ -518,6 +518,27 @@
     }
 }
 
+// Guards against a transaction that goes on in the name of an organisation whose key another one holds now.
+BOOST_AUTO_TEST_CASE(Key_PassedOnToOtherOrganisation_TransactionIsRolledBack)
+{
+    auto caller = this->open("strong");
+    caller->send(StatementKind::Begin);
+    caller->send(StatementKind::Write, "WRITE x 1");
+    this->settle();
+    auto& organisations = this->configuration.organisations;
+    std::swap(organisations[0].keys, organisations[1].keys);
+    ++this->configuration.version;
+    this->publish();
+    this->settle();
+    BOOST_TEST(this->connector.database("a").receivedStatements.back() == "rollback");
+    caller->send(StatementKind::Commit);
+    this->settle();
+    BOOST_TEST((caller->last().code == AnswerCode::Aborted));
+    caller->send(StatementKind::Write, "WRITE x 2");
+    this->settle();
+    BOOST_TEST(this->connector.database("a").openedOrganisations.back() == organisations[1].name);
+}
+
 // Guards against a commit with a withdrawn key of a transaction whose first statement is still being begun.
 BOOST_AUTO_TEST_CASE(Key_WithdrawnWhileTransactionBegins_NothingIsCommitted)
 {
