Bound the times in what VMs tell of acknowledged commits

Found by reading; not released.

AcknowledgedCommitsTest/Evidence_OfVmThatHasRunForDays_* fails on the code before and passes now.

--- a/src/Statements/AcknowledgedCommits.cpp
+++ b/src/Statements/AcknowledgedCommits.cpp
@@ -9,6 +9,9 @@
 // Answers are kept for this long. A commit that takes longer than that raises no lower bound.
 static constexpr auto maxAnswerAge = std::chrono::seconds(2);
 
+// Messages between VMs hold no longer times than a day, and longer ones make no difference.
+static constexpr std::chrono::milliseconds maxReportedTime = std::chrono::hours(1);
+
 void AcknowledgedCommits::recordAnswer(Instant received, const LogPosition& position)
 {
     if (position.term < this->term)
@@ -42,7 +45,8 @@
 CommitEvidence AcknowledgedCommits::evidence(const FreshnessLog& freshness, Instant now) const
 {
     const auto milliseconds = [now](Instant since) {
-        return static_cast<uint64_t>(std::chrono::floor<std::chrono::milliseconds>(now - since).count());
+        const auto time = std::chrono::floor<std::chrono::milliseconds>(now - since);
+        return static_cast<uint64_t>(std::min(time, maxReportedTime).count());
     };
     CommitEvidence evidence { this->atLeast, this->atMost, std::nullopt,
         this->hasGap ? 0 : milliseconds(this->observedSince) };
--- a/tests/Statements/AcknowledgedCommitsTest.cpp
+++ b/tests/Statements/AcknowledgedCommitsTest.cpp
@@ -39,6 +39,15 @@
     BOOST_TEST(commits.evidence({}, start + 1s).observedMs == 0U);
 }
 
+// Guards against VMs whose answers others reject because they have run for long.
+BOOST_AUTO_TEST_CASE(Evidence_OfVmThatHasRunForDays_IsUnderstood)
+{
+    FreshnessLog freshness;
+    freshness.record(Instant { 100s }, at(7));
+    const RevocationReply reply { 6, 2, AcknowledgedCommits(Instant { 100s }).evidence(freshness, Instant { 100h }) };
+    BOOST_TEST((decodePeerMessage(encodePeerMessage(reply)) == PeerMessage { reply }));
+}
+
 // Guards against a promotion that discards what a VM that has ended, or an earlier run of one, had acknowledged.
 BOOST_AUTO_TEST_CASE(Evidence_OfAllVms_BoundsCommitsOnlyIfItCoversEarlierRuns)
 {
